chore: lay out the workspace, the reducer and its contracts

Cause: nothing existed. The crate that decides is settled first, with Event, Effect, timers and a contract function for each concept module, so that parts can be built side by side. Modules hold the thinnest working decision; no performance claim is made.

--- /dev/null
+++ b/crates/gcl-core/src/config/object.rs
@@ -0,0 +1,209 @@
+//! The objects that operators create, one store key each.
+
+use crate::id;
+use compact_str::CompactString;
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// Labels of an object.
+pub type Labels = IndexMap<CompactString, CompactString>;
+
+/// A failure domain.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Domain {
+    /// Its name.
+    pub name: id::Domain,
+    /// Its region.
+    pub region: id::Region,
+    /// Its labels.
+    #[serde(default)]
+    pub labels: Labels,
+}
+
+/// A database service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Service {
+    /// Its name, which callers give as the database.
+    pub name: id::Service,
+    /// Its labels.
+    #[serde(default)]
+    pub labels: Labels,
+}
+
+/// A database: one replicated group.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Database {
+    /// Its name.
+    pub name: id::Database,
+    /// The service it belongs to.
+    pub service: id::Service,
+    /// Its labels.
+    #[serde(default)]
+    pub labels: Labels,
+}
+
+/// A backend server.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Server {
+    /// Its name.
+    pub name: id::Server,
+    /// The database it holds.
+    pub database: id::Database,
+    /// Its failure domain.
+    pub domain: id::Domain,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Statements that it runs at once.
+    pub slots: u32,
+    /// Connections that it accepts.
+    pub connections: u32,
+    /// Whether it is to get no new work.
+    #[serde(default)]
+    pub leaving: bool,
+    /// Its labels.
+    #[serde(default)]
+    pub labels: Labels,
+}
+
+/// A workspace.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Workspace {
+    /// Its name, which callers give as the user.
+    pub name: id::Workspace,
+    /// Requests a second, over the whole fleet.
+    pub rate: u32,
+    /// Requests that it may send at once, over the whole fleet.
+    pub burst: u32,
+    /// Its share of contended slots.
+    #[serde(default = "one")]
+    pub weight: u32,
+    /// Milliseconds that its keys stay good when the configuration cannot be confirmed, beyond the
+    /// daemon's own bound.
+    #[serde(default)]
+    pub offline_ms: u64,
+    /// Its labels.
+    #[serde(default)]
+    pub labels: Labels,
+}
+
+const fn one() -> u32 {
+    1
+}
+
+/// A key of a workspace; the secret half is not kept.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Key {
+    /// Its public half.
+    pub name: id::Key,
+    /// The workspace it opens.
+    pub workspace: id::Workspace,
+    /// SHA-256 of the secret half, hexadecimal.
+    pub hash: CompactString,
+    /// Whether it was withdrawn.
+    #[serde(default)]
+    pub withdrawn: bool,
+    /// Its labels.
+    #[serde(default)]
+    pub labels: Labels,
+}
+
+/// Whether a rule takes writes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Phase {
+    /// The rule takes reads and writes.
+    #[default]
+    Open,
+    /// Route keys that are about to move take no writes.
+    Closing,
+}
+
+/// A routing rule.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Rule {
+    /// Its name.
+    pub name: id::Rule,
+    /// The service whose requests it places.
+    pub service: id::Service,
+    /// Selector over workspace labels; empty selects all.
+    #[serde(default)]
+    pub workspaces: CompactString,
+    /// Selector over database labels; empty selects all of the service.
+    #[serde(default)]
+    pub databases: CompactString,
+    /// The databases that route keys move to, while `phase` is closing.
+    #[serde(default)]
+    pub next: Option<CompactString>,
+    /// Whether requests need no key.
+    #[serde(default)]
+    pub open: bool,
+    /// Greatest age in milliseconds of data that reads accept by default; zero for strong reads.
+    #[serde(default)]
+    pub max_age_ms: u64,
+    /// Higher goes first among rules that match.
+    #[serde(default)]
+    pub priority: i32,
+    /// Whether it takes writes.
+    #[serde(default)]
+    pub phase: Phase,
+    /// Its labels.
+    #[serde(default)]
+    pub labels: Labels,
+}
+
+/// What an operator's token allows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Role {
+    /// Reads status and configuration.
+    Read,
+    /// Changes objects other than keys and tokens.
+    Change,
+    /// Issues and withdraws keys.
+    Keys,
+}
+
+/// An operator's token; only its hash is kept.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Token {
+    /// Its name.
+    pub name: CompactString,
+    /// SHA-256 of the token, hexadecimal.
+    pub hash: CompactString,
+    /// What it allows.
+    pub roles: Vec<Role>,
+    /// Its labels.
+    #[serde(default)]
+    pub labels: Labels,
+}
+
+/// Any object, tagged with its kind.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(tag = "kind", rename_all = "snake_case")]
+pub enum Object {
+    /// A failure domain.
+    Domain(Domain),
+    /// A database service.
+    Service(Service),
+    /// A database.
+    Database(Database),
+    /// A backend server.
+    Server(Server),
+    /// A workspace.
+    Workspace(Workspace),
+    /// A key.
+    Key(Key),
+    /// A routing rule.
+    Rule(Rule),
+    /// An operator's token.
+    Token(Token),
+}
--- /dev/null
+++ b/crates/gcl-core/src/key.rs
@@ -0,0 +1,42 @@
+//! Keys of workspaces: `id.secret`, of which the secret is compared here and goes no further.
+
+use crate::{
+    caller::Secret,
+    code::{Code, Fault, Result},
+    config::snapshot::Snapshot,
+    id,
+};
+use sha2::{Digest, Sha256};
+use subtle::ConstantTimeEq;
+
+/// The SHA-256 of a secret in hexadecimal.
+#[must_use]
+pub fn hash(secret: &str) -> String {
+    use std::fmt::Write as _;
+    let digest = Sha256::digest(secret.as_bytes());
+    digest.iter().fold(String::with_capacity(64), |mut text, byte| {
+        let _ = write!(text, "{byte:02x}");
+        text
+    })
+}
+
+/// Checks a key against a workspace and gives its public half.
+///
+/// # Errors
+/// [`Code::UnknownWorkspace`], [`Code::WrongKey`] or [`Code::KeyWithdrawn`].
+pub fn authenticate(snapshot: &Snapshot, workspace: &str, secret: &Secret) -> Result<id::Key> {
+    if !snapshot.workspaces.contains_key(workspace) {
+        return Err(Fault::new(Code::UnknownWorkspace, "no such workspace"));
+    }
+    let wrong = || Fault::new(Code::WrongKey, "the password is not a key of the workspace");
+    let (name, secret) = secret.expose().split_once('.').ok_or_else(wrong)?;
+    let key = &snapshot.keys.get(name).ok_or_else(wrong)?.value;
+    let equal = bool::from(hash(secret).as_bytes().ct_eq(key.hash.as_bytes()));
+    if !equal || key.workspace != workspace {
+        return Err(wrong());
+    }
+    if key.withdrawn {
+        return Err(Fault::new(Code::KeyWithdrawn, "the key was withdrawn"));
+    }
+    Ok(key.name.clone())
+}
--- /dev/null
+++ b/crates/gcl-core/src/random.rs
@@ -0,0 +1,47 @@
+//! A seeded generator, so that a recorded trace replays to the same choices.
+
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// Weyl constant of the `SplitMix64` generator.
+const GOLDEN_GAMMA: u64 = 0x9e37_79b9_7f4a_7c15;
+
+/// A `SplitMix64` generator.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct Random {
+    state: u64,
+}
+
+impl Random {
+    /// A generator that repeats for equal seeds.
+    #[must_use]
+    pub const fn new(seed: u64) -> Self {
+        Self { state: seed }
+    }
+
+    /// The next 64 random bits.
+    pub const fn next(&mut self) -> u64 {
+        self.state = self.state.wrapping_add(GOLDEN_GAMMA);
+        mix(self.state)
+    }
+
+    /// A number below `bound`, or zero when `bound` is zero.
+    pub const fn below(&mut self, bound: u64) -> u64 {
+        if bound == 0 { 0 } else { self.next() % bound }
+    }
+
+    /// A duration from half of `base` up to one and a half times it.
+    pub fn jitter(&mut self, base: Duration) -> Duration {
+        let micros = u64::try_from(base.as_micros()).unwrap_or(u64::MAX / 2);
+        Duration::from_micros(micros / 2 + self.below(micros.max(1)))
+    }
+}
+
+/// Mixes a 64-bit number, so that near inputs give unrelated outputs.
+#[must_use]
+pub const fn mix(value: u64) -> u64 {
+    let mut z = value;
+    z = (z ^ (z >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    z = (z ^ (z >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    z ^ (z >> 31)
+}
--- /dev/null
+++ b/crates/gcl-core/src/reduce.rs
@@ -0,0 +1,162 @@
+//! The reducer: takes each event to the part it concerns and gathers the effects.
+//!
+//! It does no I/O and reads no clock. Messages to the daemon itself never leave the reducer: they
+//! are taken as the next events, so that one code path serves both near and far homes.
+
+use crate::{
+    config,
+    effect::{Effect, Effects},
+    event::Event,
+    group, home, limit, member, operation, peer, request, server, session,
+    state::State,
+    store,
+    time::Now,
+    timer,
+};
+use std::{collections::VecDeque, time::Duration};
+
+/// Time between two rounds of regular work.
+const TICK: Duration = Duration::from_millis(100);
+
+/// Takes one event and gives what is to be done about it, in order.
+pub fn reduce(state: &mut State, now: Now, event: Event) -> Vec<Effect> {
+    let mut fx = Effects::default();
+    let mut done = Vec::new();
+    let mut queue = VecDeque::from([event]);
+    while let Some(event) = queue.pop_front() {
+        dispatch(state, now, &mut fx, event);
+        for effect in fx.take() {
+            match effect {
+                Effect::Peer { to, message, .. } if to == state.settings.daemon => {
+                    queue.push_back(own(state, message));
+                }
+                other => done.push(other),
+            }
+        }
+    }
+    done
+}
+
+fn own(state: &State, message: peer::Message) -> Event {
+    let from = state.settings.daemon.clone();
+    Event::Peer(peer::Event::Received { from, incarnation: state.incarnation, message })
+}
+
+fn dispatch(state: &mut State, now: Now, fx: &mut Effects, event: Event) {
+    match event {
+        Event::Started => on_start(state, now, fx),
+        Event::Caller(session, event) => session::on_event(state, now, fx, session, event),
+        Event::Peer(event) => on_peer(state, now, fx, event),
+        Event::Store(event) => on_store(state, now, fx, &event),
+        Event::Server(name, server::Event::Answered { question, result }) => {
+            let _ = name;
+            group::on_report(state, now, fx, question, result);
+        }
+        Event::Server(name, event) => home::on_server(state, now, fx, &name, event),
+        Event::Operator(operation, request) => {
+            operation::on_request(state, now, fx, operation, &request);
+        }
+        Event::Timer(key) => on_timer(state, now, fx, &key),
+        Event::Stop => on_stop(state, now, fx),
+    }
+}
+
+fn on_start(state: &mut State, now: Now, fx: &mut Effects) {
+    member::start(state, now, fx);
+    config::start(state, now, fx);
+    limit::start(state, now, fx);
+    fx.arm(timer::Key::Tick, now.mono + TICK);
+}
+
+fn on_peer(state: &mut State, now: Now, fx: &mut Effects, event: peer::Event) {
+    match event {
+        peer::Event::Received { from, incarnation, message } => {
+            member::on_contact(state, now, fx, &from, incarnation);
+            on_message(state, now, fx, &from, message);
+        }
+        peer::Event::Lost(lost) => {
+            member::on_lost(state, now, fx, &lost);
+            request::on_lost(state, now, fx, &lost);
+            home::on_lost(state, now, fx, &lost);
+        }
+    }
+}
+
+fn on_message(
+    state: &mut State,
+    now: Now,
+    fx: &mut Effects,
+    from: &crate::id::Daemon,
+    message: peer::Message,
+) {
+    match message {
+        peer::Message::Run(run) => home::on_run(state, now, fx, from, *run),
+        peer::Message::Answer(answer) => request::on_answer(state, now, fx, from, *answer),
+        peer::Message::Request(message) => request::on_message(state, now, fx, from, &message),
+        peer::Message::Home(message) => home::on_message(state, now, fx, from, message),
+        peer::Message::Group(message) => group::on_message(state, now, fx, from, message),
+        peer::Message::Member(message) => member::on_message(state, now, fx, from, message),
+        peer::Message::Config(message) => config::on_message(state, now, fx, from, message),
+        peer::Message::Limit(message) => limit::on_message(state, now, fx, from, message),
+    }
+}
+
+fn on_store(state: &mut State, now: Now, fx: &mut Effects, event: &store::Event) {
+    let revision = state.config.snapshot.revision;
+    let _ = config::on_store(state, now, fx, event)
+        || limit::on_store(state, now, fx, event)
+        || member::on_store(state, now, fx, event)
+        || operation::on_store(state, now, fx, event);
+    if state.config.snapshot.revision != revision {
+        on_config(state, now, fx);
+    }
+}
+
+fn on_config(state: &mut State, now: Now, fx: &mut Effects) {
+    group::on_config(state, now, fx);
+    home::on_config(state, now, fx);
+    session::on_config(state, now, fx);
+    fx.push(Effect::Ready(!state.draining));
+}
+
+fn on_timer(state: &mut State, now: Now, fx: &mut Effects, key: &timer::Key) {
+    match key {
+        timer::Key::Tick => on_tick(state, now, fx),
+        timer::Key::Login(session) | timer::Key::Idle(session) => {
+            session::on_timer(state, now, fx, *session);
+        }
+        timer::Key::Deadline(request) => request::on_deadline(state, now, fx, *request),
+        timer::Key::Retry(request) => request::on_retry(state, now, fx, *request),
+        timer::Key::Queue(server) => home::on_queue_timer(state, now, fx, server),
+        timer::Key::Transaction(transaction) => {
+            home::on_transaction_timer(state, now, fx, *transaction);
+        }
+        timer::Key::Group(database) => group::on_timer(state, now, fx, database),
+        timer::Key::Failover(database) => group::on_failover_timer(state, now, fx, database),
+        timer::Key::Probe => member::on_timer(state, now, fx),
+        timer::Key::Config => config::on_timer(state, now, fx),
+        timer::Key::Seat => limit::on_timer(state, now, fx),
+        timer::Key::Anchor => {}
+        timer::Key::Operation(operation) => operation::on_timer(state, now, fx, *operation),
+    }
+}
+
+fn on_tick(state: &mut State, now: Now, fx: &mut Effects) {
+    fx.arm(timer::Key::Tick, now.mono + TICK);
+    if state.draining && !request::busy(state) && !home::busy(state) {
+        fx.push(Effect::Exit);
+    }
+}
+
+fn on_stop(state: &mut State, now: Now, fx: &mut Effects) {
+    if state.draining {
+        return;
+    }
+    state.draining = true;
+    fx.push(Effect::Ready(false));
+    fx.push(Effect::CloseListeners);
+    session::drain(state, now, fx);
+    limit::drain(state, now, fx);
+    member::drain(state, now, fx);
+    home::drain(state, now, fx);
+}
--- /dev/null
+++ b/crates/gcl-core/src/rendezvous.rs
@@ -0,0 +1,30 @@
+//! Rendezvous hashing: each node's weight for a key is independent of the other nodes, so that a
+//! node that leaves moves only its own keys.
+
+use crate::random;
+
+/// FNV-1a offset basis.
+const FNV_BASIS: u64 = 0xcbf2_9ce4_8422_2325;
+/// FNV-1a prime.
+const FNV_PRIME: u64 = 0x0100_0000_01b3;
+
+/// A stable 64-bit hash of text, the same in every daemon and release.
+#[must_use]
+pub fn hash(text: &str) -> u64 {
+    text.bytes().fold(FNV_BASIS, |state, byte| (state ^ u64::from(byte)).wrapping_mul(FNV_PRIME))
+}
+
+/// The weight of `node` for `key`; the node of greatest weight owns the key.
+#[must_use]
+pub fn weight(key: &str, node: &str) -> u64 {
+    random::mix(hash(key) ^ random::mix(hash(node)))
+}
+
+/// The owner of `key` among `nodes`.
+pub fn owner<'a, T>(
+    key: &str,
+    nodes: impl IntoIterator<Item = &'a T>,
+    name: impl Fn(&T) -> &str,
+) -> Option<&'a T> {
+    nodes.into_iter().max_by_key(|node| (weight(key, name(node)), name(node).len()))
+}
--- /dev/null
+++ b/crates/gcl-daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! Placeholder.
--- /dev/null
+++ b/crates/gcl-standin/src/main.rs
@@ -0,0 +1,2 @@
+//! Placeholder.
+fn main() {}
