--- a/crates/gcl-core/src/home/mod.rs
+++ b/crates/gcl-core/src/home/mod.rs
@@ -106,7 +106,7 @@
     };
     if let Scope::Within(transaction) = task.run.scope {
         if let Some((_, connection)) = daemon.home.transactions.get(&transaction) {
-            start(daemon, now, fx, request, *connection)
+            start(daemon, now, fx, request, *connection);
         } else {
             let fault = Fault::new(Code::TransactionLost, "the transaction is gone");
             finish(daemon, fx, request, Outcome::NotRun(fault));
