--- /dev/null
+++ b/crates/gcl-core/tests/core/limit.rs
@@ -0,0 +1,1 @@
+//! Tests of `gcl_core::limit`.
--- /dev/null
+++ b/crates/gcl-core/tests/core/main.rs
@@ -0,0 +1,14 @@
+//! Tests of the reducer and its parts, one module for each module of the crate.
+
+mod config;
+mod fixture;
+mod group;
+mod home;
+mod key;
+mod limit;
+mod member;
+mod reduce;
+mod request;
+mod route;
+mod session;
+mod statement;
