feat(caller): listen for callers over the PostgreSQL protocol

The listener turns messages into events and replies into bytes and holds connections to the bounds that need no state of the reducer.

--- a/crates/gcl-core/src/caller.rs
+++ b/crates/gcl-core/src/caller.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     batch::{Frame, Status},
-    code::Fault,
+    code::{Code, Fault},
 };
 use bytes::Bytes;
 use compact_str::CompactString;
@@ -61,6 +61,13 @@
         /// Whether the connection is encrypted.
         encrypted: bool,
     },
+    /// The connection was refused before its startup.
+    Refused {
+        /// Where the caller connects from.
+        address: SocketAddr,
+        /// Why.
+        code: Code,
+    },
     /// The startup packet: `user`, `database`, `options` and others.
     Startup(Vec<(CompactString, CompactString)>),
     /// The key.
--- a/crates/gcl-core/src/code.rs
+++ b/crates/gcl-core/src/code.rs
@@ -129,7 +129,7 @@
 
 impl fmt::Display for Code {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "G{} {}", self.number(), self.text().trim())
+        write!(f, "G{} {}", self.number(), self.text().trim().trim_end_matches('.'))
     }
 }
 
--- a/crates/gcl-core/src/settings.rs
+++ b/crates/gcl-core/src/settings.rs
@@ -40,12 +40,18 @@
     pub connections: usize,
     /// Most caller connections from one address.
     pub connections_per_address: usize,
+    /// Most caller connections that have not logged in yet.
+    pub half_open: usize,
     /// Largest caller message in bytes.
     pub message_bytes: usize,
     /// Largest answer in bytes.
     pub answer_bytes: usize,
     /// Longest login in milliseconds.
     pub login_ms: u64,
+    /// Longest wait for the rest of a message in milliseconds.
+    pub read_ms: u64,
+    /// Longest write to a caller in milliseconds.
+    pub write_ms: u64,
     /// Longest idle time of a caller in milliseconds.
     pub idle_ms: u64,
     /// Longest idle time within a transaction in milliseconds.
@@ -65,9 +71,12 @@
         Self {
             connections: 20_000,
             connections_per_address: 5_000,
+            half_open: 1_000,
             message_bytes: 1 << 20,
             answer_bytes: 16 << 20,
             login_ms: 5_000,
+            read_ms: 30_000,
+            write_ms: 30_000,
             idle_ms: 3_600_000,
             transaction_idle_ms: 30_000,
             request_ms: 10_000,
--- /dev/null
+++ b/crates/gcl-daemon/src/caller/connection.rs
@@ -0,0 +1,299 @@
+//! One caller's connection: opening, then messages in and replies out.
+
+use super::{
+    Shared,
+    codec::{self, Error, Opening},
+    table::{Entry, Gauge, Guard},
+};
+use bytes::BytesMut;
+use gcl_core::{
+    caller::{Effect, Event, Reply},
+    code::{Code, Fault},
+    id,
+};
+use std::{
+    future::poll_fn,
+    io::{self, Write as _},
+    net::SocketAddr,
+    pin::Pin,
+    sync::Arc,
+    task::ready,
+    time::Duration,
+};
+use tokio::{
+    io::{AsyncRead, AsyncWrite, AsyncWriteExt as _, ReadBuf},
+    net::TcpStream,
+    sync::mpsc::UnboundedReceiver,
+    time::{Instant, timeout, timeout_at},
+};
+
+/// Bytes read at once, on the stack while a read is under way only.
+const READ_BYTES: usize = 8 << 10;
+/// Answer to a request for TLS that is granted.
+const TLS_GRANTED: &[u8] = b"S";
+/// Answer to a request for encryption that is not granted.
+const NOT_GRANTED: &[u8] = b"N";
+
+type Result<T> = io::Result<T>;
+
+trait Stream: AsyncRead + AsyncWrite + Unpin + Send {}
+impl<T: AsyncRead + AsyncWrite + Unpin + Send> Stream for T {}
+
+/// A connection on which bytes have begun to arrive.
+struct Connection {
+    stream: Box<dyn Stream>,
+    buffer: BytesMut,
+    encrypted: bool,
+}
+
+/// Runs a connection until its end.
+pub async fn run(
+    stream: TcpStream,
+    address: SocketAddr,
+    entry: Entry,
+    effects: UnboundedReceiver<Effect>,
+    shared: Arc<Shared>,
+) {
+    let mut guard = Guard::new(Arc::clone(&shared), entry.session);
+    let _ = stream.set_nodelay(true);
+    let deadline = Instant::now() + Duration::from_millis(shared.bounds.login_ms);
+    let mut connection =
+        Connection { stream: Box::new(stream), buffer: BytesMut::new(), encrypted: false };
+    let opened = timeout_at(deadline, open(&mut connection, &shared)).await;
+    let opened = opened.unwrap_or_else(|_elapsed| Err(late()));
+    match opened {
+        Ok(Some(startup)) => {
+            guard.opened = true;
+            let Connection { encrypted, .. } = connection;
+            let send = |event| shared.events.send((entry.session, event)).is_ok();
+            if send(Event::Opened { address, encrypted }) && send(startup) {
+                serve(connection, &entry, effects, &shared).await;
+            }
+        }
+        Ok(None) => {}
+        Err(fault) => {
+            let refused = Event::Refused { address, code: fault.code };
+            let _ = shared.events.send((entry.session, refused));
+            let limit = Duration::from_millis(shared.bounds.write_ms);
+            let reply = Reply::Error { fault, fatal: true };
+            let _ = write(&mut connection, vec![reply], limit).await;
+            let _ = timeout(limit, connection.stream.shutdown()).await;
+        }
+    }
+}
+
+fn late() -> Fault {
+    Fault::new(Code::LoginTimeout, "no startup packet came in time")
+}
+
+fn lost(_: io::Error) -> Fault {
+    Fault::new(Code::Protocol, "the connection was lost while it was opened")
+}
+
+/// Reads up to the startup packet; `None` when the connection has served its purpose.
+async fn open(
+    connection: &mut Connection,
+    shared: &Shared,
+) -> std::result::Result<Option<Event>, Fault> {
+    loop {
+        let opening = codec::opening(&mut connection.buffer).map_err(|error| match error {
+            Error::Malformed(what) => Fault::new(Code::Protocol, what),
+            Error::Oversized(_) => Fault::new(Code::TooLarge, "the startup packet is too large"),
+        })?;
+        match opening {
+            None => {
+                if read(&mut connection.stream, &mut connection.buffer).await.map_err(lost)? == 0 {
+                    return Ok(None);
+                }
+            }
+            Some(Opening::Tls) => encrypt(connection, shared).await?,
+            Some(Opening::Gss) => {
+                connection.stream.write_all(NOT_GRANTED).await.map_err(lost)?;
+            }
+            Some(Opening::Cancel { process, secret }) => {
+                let _ = shared.events.send((0, Event::Cancel { process, secret }));
+                return Ok(None);
+            }
+            Some(Opening::Startup { parameters, negotiate }) => {
+                return start(connection, shared, parameters, negotiate).await.map(Some);
+            }
+        }
+    }
+}
+
+async fn start(
+    connection: &mut Connection,
+    shared: &Shared,
+    parameters: Vec<(compact_str::CompactString, compact_str::CompactString)>,
+    negotiate: Option<Vec<String>>,
+) -> std::result::Result<Event, Fault> {
+    if shared.encryption_required && !connection.encrypted {
+        return Err(Fault::new(Code::EncryptionRequired, "connect with TLS"));
+    }
+    if let Some(options) = negotiate {
+        let mut out = BytesMut::new();
+        codec::encode_version(options, &mut out)
+            .map_err(|error| Fault::new(Code::Protocol, format!("protocol options: {error}")))?;
+        connection.stream.write_all(&out).await.map_err(lost)?;
+    }
+    Ok(Event::Startup(parameters))
+}
+
+async fn encrypt(connection: &mut Connection, shared: &Shared) -> std::result::Result<(), Fault> {
+    let Some(acceptor) = shared.tls.as_ref().filter(|_| !connection.encrypted) else {
+        return connection.stream.write_all(NOT_GRANTED).await.map_err(lost);
+    };
+    // Bytes sent ahead of the handshake were not protected by it.
+    if !connection.buffer.is_empty() {
+        return Err(Fault::new(Code::Protocol, "bytes came before the TLS handshake"));
+    }
+    connection.stream.write_all(TLS_GRANTED).await.map_err(lost)?;
+    let plain = std::mem::replace(&mut connection.stream, Box::new(tokio::io::empty()));
+    let stream = acceptor.accept(plain).await.map_err(lost)?;
+    connection.stream = Box::new(stream);
+    connection.encrypted = true;
+    Ok(())
+}
+
+/// Passes messages in and replies out until either side ends the connection.
+async fn serve(
+    mut connection: Connection,
+    entry: &Entry,
+    mut effects: UnboundedReceiver<Effect>,
+    shared: &Shared,
+) {
+    let limit = Duration::from_millis(shared.bounds.write_ms);
+    let mut reading = true;
+    let mut next = deliver(&mut connection, entry.session, shared);
+    loop {
+        match next {
+            Next::Read => {}
+            Next::Refusal => reading = false,
+            Next::End => return,
+        }
+        next = Next::Read;
+        let waiting = reading && !connection.buffer.is_empty();
+        let stalled = Instant::now() + Duration::from_millis(shared.bounds.read_ms);
+        tokio::select! {
+            biased;
+            () = entry.gauge.overrun.notified() => return,
+            effect = effects.recv() => {
+                let Some(effect) = effect else { return };
+                match act(&mut connection, &entry.gauge, effect, limit).await {
+                    Ok(Some(read_on)) => reading = read_on,
+                    Ok(None) | Err(_) => return,
+                }
+                if reading {
+                    next = deliver(&mut connection, entry.session, shared);
+                }
+            }
+            count = read(&mut connection.stream, &mut connection.buffer), if reading => {
+                if count.unwrap_or(0) == 0 {
+                    return;
+                }
+                next = deliver(&mut connection, entry.session, shared);
+            }
+            () = tokio::time::sleep_until(stalled), if waiting => return,
+        }
+    }
+}
+
+/// Carries out an effect; gives whether to read on, or `None` at the end.
+async fn act(
+    connection: &mut Connection,
+    gauge: &Gauge,
+    effect: Effect,
+    limit: Duration,
+) -> Result<Option<bool>> {
+    gauge.taken(&effect);
+    match effect {
+        Effect::Send(replies) => {
+            tokio::select! {
+                biased;
+                () = gauge.overrun.notified() => return Ok(None),
+                written = write(connection, replies, limit) => written?,
+            }
+            Ok(Some(true))
+        }
+        Effect::Pause => Ok(Some(false)),
+        Effect::Resume => Ok(Some(true)),
+        Effect::Close => {
+            let _ = timeout(limit, connection.stream.shutdown()).await;
+            Ok(None)
+        }
+    }
+}
+
+async fn write(connection: &mut Connection, replies: Vec<Reply>, limit: Duration) -> Result<()> {
+    let mut out = BytesMut::new();
+    for reply in replies {
+        codec::encode(reply, &mut out).map_err(io::Error::other)?;
+    }
+    let stream = &mut connection.stream;
+    let written = timeout(limit, async {
+        stream.write_all(&out).await?;
+        stream.flush().await
+    });
+    written.await.unwrap_or_else(|_elapsed| Err(io::ErrorKind::TimedOut.into()))
+}
+
+/// What follows the messages that were passed on.
+enum Next {
+    /// More is read.
+    Read,
+    /// The reducer refuses the message and closes the connection.
+    Refusal,
+    /// The connection ends.
+    End,
+}
+
+/// Sends the complete messages of the buffer on as events.
+fn deliver(connection: &mut Connection, session: id::Session, shared: &Shared) -> Next {
+    loop {
+        let event = match codec::message(&mut connection.buffer, shared.bounds.message_bytes) {
+            Ok(Some(event)) => event,
+            Ok(None) => break,
+            Err(Error::Malformed(what)) => Event::Malformed(what),
+            Err(Error::Oversized(bytes)) => Event::Oversized(bytes),
+        };
+        let next = match event {
+            Event::Malformed(_) | Event::Oversized(_) => Next::Refusal,
+            Event::Terminate => Next::End,
+            _ => Next::Read,
+        };
+        if shared.events.send((session, event)).is_err() {
+            return Next::End;
+        }
+        if !matches!(next, Next::Read) {
+            connection.buffer = BytesMut::new();
+            return next;
+        }
+    }
+    if connection.buffer.is_empty() {
+        connection.buffer = BytesMut::new();
+    }
+    Next::Read
+}
+
+/// Reads what has come, at most [`READ_BYTES`]; zero at the end of the stream.
+async fn read(stream: &mut Box<dyn Stream>, buffer: &mut BytesMut) -> Result<usize> {
+    poll_fn(|cx| {
+        let mut space = [0_u8; READ_BYTES];
+        let mut chunk = ReadBuf::new(&mut space);
+        ready!(Pin::new(&mut *stream).poll_read(cx, &mut chunk))?;
+        buffer.extend_from_slice(chunk.filled());
+        std::task::Poll::Ready(Ok(chunk.filled().len()))
+    })
+    .await
+}
+
+/// Tells a caller that is not admitted why, without waiting.
+pub fn turn_away(stream: TcpStream, fault: Fault) {
+    let mut out = BytesMut::new();
+    let encoded = codec::encode(Reply::Error { fault, fatal: true }, &mut out).is_ok();
+    if let Ok(mut stream) = stream.into_std()
+        && encoded
+    {
+        let _ = stream.write(&out);
+    }
+}
--- /dev/null
+++ b/crates/gcl-daemon/tests/daemon/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the daemon's parts, one module for each.
+
+mod caller;
+mod echo;
