feat: pass batches and control questions to backend servers

The adapter keeps one task per data connection and a few control lines per server. It re-prepares statements per connection, sets session variables only when they differ, pins terms, and records the ids of idempotent writes in the transaction that they make. A variable that no server has accepted yet is awaited before the batch, since a refusal would come too late otherwise. The stand-in can be primary or follow from its start.

--- /dev/null
+++ b/crates/gcl-backend/src/control.rs
@@ -0,0 +1,157 @@
+//! Control questions, each on a line of its own while it is answered.
+//!
+//! A line serves one question at a time and is closed when an answer does not come in time, so that
+//! a late answer is never taken for that of a later question. Questions that wait at the server
+//! have lines apart, so that they hold no others up.
+
+use crate::{
+    answer,
+    client::Options,
+    login::{self, Purpose},
+    wire::{self, Item, Link},
+};
+use bytes::BytesMut;
+use compact_str::{CompactString, ToCompactString, format_compact};
+use gcl_core::{
+    mark::Mark,
+    server::{Ask, Refusal, Report, Role},
+};
+use postgres_protocol::message::frontend;
+use std::{
+    net::SocketAddr,
+    sync::{Mutex, PoisonError},
+    time::Duration,
+};
+use tokio::{
+    sync::Semaphore,
+    time::{Instant, timeout_at},
+};
+
+/// Most lines to a server for questions that are answered at once.
+const PROMPT_LINES: usize = 2;
+/// Most lines to a server for questions that wait.
+const WAITING_LINES: usize = 4;
+
+/// What a question returns.
+pub type Result<T> = std::result::Result<T, Refusal>;
+
+/// The lines to one server.
+#[derive(Debug)]
+pub struct Lines {
+    prompt: Pool,
+    waiting: Pool,
+}
+
+impl Default for Lines {
+    fn default() -> Self {
+        Self { prompt: Pool::new(PROMPT_LINES), waiting: Pool::new(WAITING_LINES) }
+    }
+}
+
+impl Lines {
+    /// Asks a question.
+    pub async fn ask(
+        &self,
+        options: &Options,
+        address: SocketAddr,
+        ask: &Ask,
+        timeout: Duration,
+    ) -> Result<Report> {
+        let pool = if matches!(ask, Ask::Await { .. }) { &self.waiting } else { &self.prompt };
+        let deadline = Instant::now() + timeout;
+        let answer = timeout_at(deadline, pool.ask(options, address, &text(ask))).await;
+        answer.unwrap_or_else(|_| Err(Refusal::Lost("no answer in time".into())))
+    }
+}
+
+/// Lines kept open for reuse.
+#[derive(Debug)]
+struct Pool {
+    permits: Semaphore,
+    idle: Mutex<Vec<(SocketAddr, Link)>>,
+}
+
+impl Pool {
+    fn new(lines: usize) -> Self {
+        Self { permits: Semaphore::new(lines), idle: Mutex::default() }
+    }
+
+    async fn ask(&self, options: &Options, address: SocketAddr, sql: &str) -> Result<Report> {
+        let _permit = self.permits.acquire().await.map_err(lost)?;
+        let mut link = match self.take(address) {
+            Some(link) => link,
+            None => login::open(options, address, Purpose::Control).await.map_err(lost)?.link,
+        };
+        let result = exchange(&mut link, sql).await?;
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner).push((address, link));
+        result
+    }
+
+    /// An idle line that is still good.
+    fn take(&self, address: SocketAddr) -> Option<Link> {
+        let mut idle = self.idle.lock().unwrap_or_else(PoisonError::into_inner);
+        idle.retain(|(other, link)| *other == address && link.is_quiet());
+        idle.pop().map(|(_, link)| link)
+    }
+}
+
+/// The question as SQL.
+fn text(ask: &Ask) -> CompactString {
+    match ask {
+        Ask::Status => "SELECT * FROM goldcrest_status()".into(),
+        Ask::Await { mark, wait } => {
+            let (term, position, wait) = (mark.term, mark.position, wait.as_millis());
+            format_compact!("SELECT * FROM goldcrest_await({term}, {position}, {wait})")
+        }
+        Ask::Fence(term) => format_compact!("SELECT * FROM goldcrest_fence({term})"),
+        Ask::Promote(term) => format_compact!("SELECT * FROM goldcrest_promote({term})"),
+        Ask::Follow { term, server, address } => {
+            let server = server.replace('\'', "''");
+            format_compact!("SELECT * FROM goldcrest_follow({term}, '{server}', '{address}')")
+        }
+    }
+}
+
+/// Asks on a line. The outer result fails if the line is of no more use.
+async fn exchange(link: &mut Link, sql: &str) -> Result<Result<Report>> {
+    let mut output = BytesMut::new();
+    frontend::query(sql, &mut output).map_err(lost)?;
+    link.write(&mut output).await.map_err(lost)?;
+    let mut result = Err(Refusal::Lost("the answer has no report".into()));
+    loop {
+        let Item::Frame(frame) = link.read(wire::SMALL).await.map_err(lost)? else {
+            return Err(Refusal::Lost("the answer is too large".into()));
+        };
+        match frame.tag {
+            b'Z' => return Ok(result),
+            answer::ROW => result = answer::row(&frame).as_deref().map_or(result, report),
+            answer::ERROR => {
+                let message = answer::error_field(&frame, b'M').unwrap_or_default();
+                result = Err(Refusal::Lost(message));
+            }
+            b'T' | b'C' | b'N' | b'S' => {}
+            _ => return Err(Refusal::Lost("unexpected message".into())),
+        }
+    }
+}
+
+/// Reads the row of a report: whether the question was accepted, then the report.
+fn report(row: &[Option<CompactString>]) -> Result<Report> {
+    let field = |index: usize| row.get(index).and_then(Option::as_deref);
+    let number = |index: usize| field(index).and_then(|text| text.parse::<u64>().ok());
+    let mark = |index: usize| Some(Mark::new(number(index)?, number(index + 1)?));
+    let read = || {
+        let role = match field(2)? {
+            "primary" => Role::Primary,
+            "replica" => Role::Replica,
+            _ => return None,
+        };
+        Some(Report { term: number(1)?, role, received: mark(3)?, applied: mark(5)? })
+    };
+    let report = read().ok_or_else(|| Refusal::Lost("the report is not valid".into()))?;
+    if field(0) == Some("t") { Ok(report) } else { Err(Refusal::Refused(report)) }
+}
+
+fn lost(error: impl std::fmt::Display) -> Refusal {
+    Refusal::Lost(error.to_compact_string())
+}
--- /dev/null
+++ b/crates/gcl-backend/tests/backend/data.rs
@@ -0,0 +1,306 @@
+//! Data connections.
+
+use crate::fixture::{Bench, answered, batch, bind, extended, simple};
+use gcl_backend::client::Options;
+use gcl_core::{
+    batch::{Batch, Prepared, Status, Step, Target},
+    mark::Mark,
+    server::{Ask, Call, Ended, Event},
+};
+use gcl_standin::database::{self, fault::Fault};
+use std::time::Duration;
+
+const CREATE: &str = "CREATE TABLE booking (id int8 PRIMARY KEY, who text)";
+
+#[tokio::test]
+async fn simple_queries_are_passed_on() {
+    let mut bench = Bench::start().await;
+    let connection = bench.open().await;
+    let answer = bench.sql(connection, CREATE).await;
+    assert_eq!((answer.kinds.as_str(), answer.mark), ("C", Some(Mark::new(1, 2))));
+    let answer = bench.sql(connection, "INSERT INTO booking VALUES (1, 'asha')").await;
+    assert_eq!((answer.tags(), answer.mark), (vec!["INSERT 0 1".into()], Some(Mark::new(1, 3))));
+    let answer = bench.sql(connection, "SELECT who FROM booking; SELECT 2").await;
+    assert_eq!(
+        (answer.kinds.as_str(), answer.column()),
+        ("TDCTDC", vec!["asha".into(), "2".into()])
+    );
+    let answer = bench.sql(connection, "SELECT id FROM nowhere").await;
+    assert_eq!((answer.kinds.as_str(), answer.error.as_deref()), ("E", Some("42P01")));
+    assert_eq!(answer.status, Status::Idle);
+}
+
+#[tokio::test]
+async fn statements_are_prepared_once_and_anew_on_another_connection() {
+    let mut bench = Bench::start().await;
+    let connections = [bench.open().await, bench.open().await];
+    bench.sql(connections[0], CREATE).await;
+    let insert = "INSERT INTO booking (id, who) VALUES ($1, $2)";
+    let mut id = 0;
+    for connection in connections {
+        for _ in 0..2 {
+            id += 1;
+            let run = extended(insert, &[&id.to_string(), "asha"]);
+            let answer = answered(bench.run(connection, run).await);
+            assert_eq!(answer.kinds, "12nC", "the caller sees what it asked for");
+        }
+        let steps = vec![
+            bind(0, &["1"]),
+            Step::Execute { portal: "".into(), max_rows: 0 },
+            Step::CloseStatement,
+        ];
+        let prepared =
+            Prepared { sql: "SELECT who FROM booking WHERE id = $1".into(), types: vec![] };
+        let run = batch(Batch::Extended { statements: vec![prepared], steps });
+        let answer = answered(bench.run(connection, run).await);
+        assert_eq!(answer.kinds, "2DC3", "what was prepared for it stays hidden");
+    }
+}
+
+#[tokio::test]
+async fn an_error_before_a_parse_leaves_the_cache_right() {
+    let mut bench = Bench::start().await;
+    let connection = bench.open().await;
+    bench.sql(connection, CREATE).await;
+    let statements = vec![
+        Prepared { sql: "SELECT wrong FROM booking".into(), types: vec![] },
+        Prepared { sql: "SELECT id FROM booking".into(), types: vec![] },
+    ];
+    let steps = vec![
+        Step::Parse(0),
+        Step::Parse(1),
+        bind(1, &[]),
+        Step::Execute { portal: "".into(), max_rows: 0 },
+    ];
+    let run = batch(Batch::Extended { statements: statements.clone(), steps: steps.clone() });
+    let answer = answered(bench.run(connection, run).await);
+    assert_eq!((answer.kinds.as_str(), answer.error.as_deref()), ("E", Some("42703")));
+    let run = batch(Batch::Extended { statements, steps: steps[1..].to_vec() });
+    let answer = answered(bench.run(connection, run).await);
+    assert_eq!(answer.kinds, "12C");
+}
+
+#[tokio::test]
+async fn statements_over_the_bound_are_closed_and_come_back() {
+    let options = Options { statements: 2, ..Options::default() };
+    let mut bench = Bench::with(database::Options::default(), options).await;
+    let connection = bench.open().await;
+    for round in 0..3 {
+        for number in 0..4 {
+            let run = extended(&format!("SELECT {number} + {round} - {round}"), &[]);
+            let answer = answered(bench.run(connection, run).await);
+            assert_eq!(
+                (answer.kinds.as_str(), answer.column()),
+                ("12TDC", vec![number.to_string()])
+            );
+        }
+    }
+}
+
+#[tokio::test]
+async fn portals_hand_out_rows_in_parts() {
+    let mut bench = Bench::start().await;
+    let connection = bench.open().await;
+    let prepared = Prepared { sql: "VALUES (1), (2), (3)".into(), types: vec![] };
+    let execute = Step::Execute { portal: "".into(), max_rows: 2 };
+    let steps = vec![
+        Step::Parse(0),
+        Step::Describe(Target::Statement(0)),
+        bind(0, &[]),
+        execute.clone(),
+        execute,
+        Step::ClosePortal("".into()),
+    ];
+    let run = batch(Batch::Extended { statements: vec![prepared], steps });
+    let answer = answered(bench.run(connection, run).await);
+    assert_eq!(answer.kinds, "1tT2DDsDC3");
+}
+
+#[tokio::test]
+async fn variables_follow_the_session() {
+    let mut bench = Bench::start().await;
+    let connection = bench.open().await;
+    let show = |value: &str| {
+        let variables = vec![("app.desk".into(), value.into())];
+        crate::fixture::Run { variables, ..simple("SHOW app.desk") }
+    };
+    for value in ["altyn", "o'r\\da", "altyn", "altyn"] {
+        let answer = answered(bench.run(connection, show(value)).await);
+        assert_eq!((answer.kinds.as_str(), answer.column()), ("TDC", vec![value.to_owned()]));
+    }
+    let answer = bench.sql(connection, "SHOW app.desk").await;
+    assert_eq!(answer.column(), [""], "another session does not see it");
+    bench.sql(connection, "SET app.desk = 'stray'").await;
+    let answer = bench.sql(connection, "SHOW app.desk").await;
+    assert_eq!(answer.column(), [""], "a stray assignment does not stay");
+    let variables = vec![("app desk; DROP TABLE x".into(), "y".into())];
+    let refused = crate::fixture::Run { variables, ..simple("SELECT 1") };
+    let answer = answered(bench.run(connection, refused).await);
+    assert_eq!(answer.error.as_deref(), Some("42602"));
+}
+
+#[tokio::test]
+async fn a_refused_variable_stops_the_batch() {
+    let mut bench = Bench::start().await;
+    let connection = bench.open().await;
+    bench.sql(connection, CREATE).await;
+    let variables = vec![("goldcrest.term".into(), "none".into())];
+    let insert = simple("INSERT INTO booking VALUES (1, 'x')");
+    let refused = crate::fixture::Run { variables, ..insert };
+    let answer = answered(bench.run(connection, refused).await);
+    assert_eq!((answer.kinds.as_str(), answer.error.as_deref()), ("E", Some("22023")));
+    let answer = bench.sql(connection, "SELECT count(*) FROM booking").await;
+    assert_eq!(answer.column(), ["0"]);
+}
+
+#[tokio::test]
+async fn reads_cannot_write_and_terms_are_pinned() {
+    let mut bench = Bench::start().await;
+    let connection = bench.open().await;
+    bench.sql(connection, CREATE).await;
+    let insert = || simple("INSERT INTO booking VALUES (1, 'x')");
+    let read_only = crate::fixture::Run { read_only: true, ..insert() };
+    let answer = answered(bench.run(connection, read_only).await);
+    assert_eq!(answer.error.as_deref(), Some("25006"));
+    let stale = crate::fixture::Run { term: Some(2), ..insert() };
+    let answer = answered(bench.run(connection, stale).await);
+    assert_eq!(answer.error.as_deref(), Some("25006"));
+    let pinned = crate::fixture::Run { term: Some(1), ..insert() };
+    let answer = answered(bench.run(connection, pinned).await);
+    assert_eq!((answer.error, answer.mark), (None, Some(Mark::new(1, 3))));
+}
+
+#[tokio::test]
+async fn transactions_stay_open_and_are_reset() {
+    let mut bench = Bench::start().await;
+    let connection = bench.open().await;
+    bench.sql(connection, CREATE).await;
+    let answer = bench.sql(connection, "BEGIN").await;
+    assert_eq!((answer.status, answer.mark), (Status::Open, None));
+    bench.sql(connection, "INSERT INTO booking VALUES (1, 'x')").await;
+    let answer = bench.sql(connection, "INSERT INTO booking VALUES (1, 'x')").await;
+    assert_eq!((answer.status, answer.error.as_deref()), (Status::Failed, Some("23505")));
+    let answer = bench.sql(connection, "SELECT 1").await;
+    assert_eq!(answer.error.as_deref(), Some("25P02"));
+    bench.call(Call::Reset(connection));
+    assert_eq!(bench.event().await, Event::Reset { connection, clean: true });
+    let answer = bench.sql(connection, "SELECT count(*) FROM booking").await;
+    assert_eq!((answer.status, answer.column()), (Status::Idle, vec!["0".into()]));
+}
+
+#[tokio::test]
+async fn too_large_an_answer_is_dropped_and_the_connection_goes_on() {
+    let options = Options { answer_bytes: 64, ..Options::default() };
+    let mut bench = Bench::with(database::Options::default(), options).await;
+    let connection = bench.open().await;
+    let ended = bench.run(connection, simple("SELECT hex(zeroblob(2000000))")).await;
+    assert!(matches!(ended, Ended::TooLarge { status: Status::Idle, .. }), "{ended:?}");
+    let ended = bench.run(connection, simple("SELECT hex(zeroblob(20000))")).await;
+    assert!(matches!(ended, Ended::TooLarge { status: Status::Idle, .. }), "{ended:?}");
+    assert_eq!(bench.sql(connection, "SELECT 1").await.column(), ["1"]);
+}
+
+#[tokio::test]
+async fn a_full_server_says_so() {
+    let server = database::Options { connections: 1, ..database::Options::default() };
+    let mut bench = Bench::with(server, Options::default()).await;
+    let first = bench.open().await;
+    bench.call(Call::Open { connection: 99, address: bench.address });
+    assert_eq!(bench.event().await, Event::Failed { connection: 99, full: true });
+    bench.call(Call::Close(first));
+    assert_eq!(bench.event().await, Event::Closed(first));
+    bench.ask(Ask::Status).await.expect("control does not count");
+}
+
+#[tokio::test]
+async fn a_server_that_refuses_is_not_full() {
+    let mut bench = Bench::start().await;
+    bench.server.inject(Fault::Refuse);
+    bench.call(Call::Open { connection: 99, address: bench.address });
+    assert_eq!(bench.event().await, Event::Failed { connection: 99, full: false });
+}
+
+#[tokio::test]
+async fn cancel_stops_a_statement_and_not_the_next() {
+    let mut bench = Bench::start().await;
+    let connection = bench.open().await;
+    bench.server.inject(Fault::Slow(Duration::from_mins(1)));
+    let request = bench.start_run(connection, simple("SELECT 1"));
+    bench.server.running(1).await;
+    bench.call(Call::Cancel(connection));
+    let answer = answered(bench.ended(request).await);
+    assert_eq!(answer.error.as_deref(), Some("57014"));
+    bench.server.heal();
+    assert_eq!(bench.sql(connection, "SELECT 1").await.column(), ["1"]);
+}
+
+#[tokio::test]
+async fn a_lost_answer_is_sent_and_its_effect_stays() {
+    let mut bench = Bench::start().await;
+    let connection = bench.open().await;
+    bench.sql(connection, CREATE).await;
+    bench.server.inject(Fault::LoseCommits(1));
+    let ended = bench.run(connection, simple("INSERT INTO booking VALUES (1, 'x')")).await;
+    assert_eq!(ended, Ended::Lost { sent: true });
+    let ended = bench.run(connection, simple("SELECT 1")).await;
+    assert_eq!(ended, Ended::Lost { sent: false }, "the connection is gone");
+    let other = bench.open().await;
+    let answer = bench.sql(other, "SELECT count(*) FROM booking").await;
+    assert_eq!(answer.column(), ["1"]);
+}
+
+#[tokio::test]
+async fn a_crash_closes_what_is_idle_and_loses_what_runs() {
+    let mut bench = Bench::start().await;
+    let (idle, busy) = (bench.open().await, bench.open().await);
+    bench.server.inject(Fault::Slow(Duration::from_mins(1)));
+    let request = bench.start_run(busy, simple("SELECT 1"));
+    bench.server.running(1).await;
+    bench.server.inject(Fault::Crash);
+    let ended = Event::Ended { connection: busy, request, ended: Ended::Lost { sent: true } };
+    let events = [bench.event().await, bench.event().await];
+    assert!(events.contains(&Event::Closed(idle)) && events.contains(&ended), "{events:?}");
+}
+
+#[tokio::test]
+async fn closing_under_a_batch_loses_it() {
+    let mut bench = Bench::start().await;
+    let connection = bench.open().await;
+    bench.server.inject(Fault::Freeze);
+    let request = bench.start_run(connection, simple("SELECT 1"));
+    bench.call(Call::Close(connection));
+    let ended = bench.ended(request).await;
+    assert!(matches!(ended, Ended::Lost { .. }), "{ended:?}");
+}
+
+#[tokio::test]
+async fn a_reset_that_gets_no_answer_is_not_clean() {
+    let options = Options { reset_timeout: Duration::from_millis(50), ..Options::default() };
+    let mut bench = Bench::with(database::Options::default(), options).await;
+    let connection = bench.open().await;
+    bench.server.inject(Fault::IsolateClients);
+    bench.call(Call::Reset(connection));
+    assert_eq!(bench.event().await, Event::Reset { connection, clean: false });
+}
+
+#[tokio::test]
+async fn late_answers_go_to_their_requests() {
+    let mut bench = Bench::start().await;
+    let connections = [bench.open().await, bench.open().await];
+    bench.server.inject(Fault::Late(Duration::from_millis(30)));
+    let first = bench.start_run(connections[0], simple("SELECT 1"));
+    let second = bench.start_run(connections[1], simple("SELECT 2"));
+    let third = bench.start_run(connections[0], simple("SELECT 3"));
+    for _ in 0..3 {
+        let Event::Ended { request, ended, .. } = bench.event().await else {
+            panic!("a batch ends");
+        };
+        let expected = match request {
+            request if request == first => "1",
+            request if request == second => "2",
+            request if request == third => "3",
+            _ => panic!("an unknown request"),
+        };
+        assert_eq!(answered(ended).column(), [expected]);
+    }
+}
--- /dev/null
+++ b/crates/gcl-backend/tests/backend/main.rs
@@ -0,0 +1,6 @@
+//! The adapter against the database stand-in.
+
+mod control;
+mod data;
+mod fixture;
+mod idempotent;
--- a/crates/gcl-standin/src/database/mod.rs
+++ b/crates/gcl-standin/src/database/mod.rs
@@ -24,8 +24,10 @@
 pub use shared::Lag;
 
 use fault::Fault;
-use gcl_core::server::Report;
+use gcl_core::{id::Term, server::Report};
 use log::Entry;
+use node::Leader;
+use serde::Deserialize;
 use shared::Shared;
 use std::{
     io,
@@ -41,6 +43,27 @@
 /// Pause after a failed accept or bind.
 const RETRY: Duration = Duration::from_millis(20);
 
+/// The term at which a group is set up at its start.
+const FIRST_TERM: Term = 1;
+
+/// What a server does in its group at its start.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Deserialize)]
+#[serde(rename_all = "lowercase", deny_unknown_fields)]
+pub enum Boot {
+    /// It stays a replica at term zero until it is told otherwise.
+    #[default]
+    Empty,
+    /// It is primary at term one.
+    Primary,
+    /// It follows a server at term one.
+    Follow {
+        /// The primary's name.
+        server: String,
+        /// The primary's address.
+        address: SocketAddr,
+    },
+}
+
 /// What a server is started with.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Options {
@@ -58,6 +81,8 @@
     pub statement_delay: Duration,
     /// How far it lags as a replica.
     pub lag: Lag,
+    /// What it does in its group at its start.
+    pub boot: Boot,
 }
 
 impl Default for Options {
@@ -70,6 +95,7 @@
             open_delay: Duration::ZERO,
             statement_delay: Duration::ZERO,
             lag: Lag::default(),
+            boot: Boot::Empty,
         }
     }
 }
@@ -83,7 +109,7 @@
 }
 
 impl Server {
-    /// Starts an empty server at term zero.
+    /// Starts an empty server.
     ///
     /// # Errors
     /// What `SQLite` or the socket reports.
@@ -92,6 +118,7 @@
         let address = listener.local_addr()?;
         let shared = Shared::new(options).map_err(|error| io::Error::other(error.message))?;
         let shared = Arc::new(shared);
+        boot(&shared);
         let tasks = vec![
             tokio::spawn(listen(Arc::clone(&shared), listener, address)),
             tokio::spawn(replication::run(Arc::clone(&shared))),
@@ -143,6 +170,19 @@
         }
     }
 
+    /// Waits until a number of statements run.
+    pub async fn running(&self, count: usize) {
+        let mut changes = self.shared.changes();
+        loop {
+            changes.mark_unchanged();
+            if self.shared.running() == count {
+                return;
+            }
+            // The sender lives in `self.shared`, so the wait cannot fail.
+            let _ = changes.changed().await;
+        }
+    }
+
     /// Puts a fault in force.
     pub fn inject(&self, fault: Fault) {
         self.shared.inject(fault);
@@ -168,6 +208,21 @@
     }
 }
 
+fn boot(shared: &Shared) {
+    let mut node = shared.node();
+    match &shared.options.boot {
+        Boot::Empty => {}
+        Boot::Primary => {
+            node.fence(FIRST_TERM);
+            node.promote(FIRST_TERM);
+        }
+        Boot::Follow { server, address } => {
+            let (server, address) = (server.clone(), *address);
+            node.follow(Leader { term: FIRST_TERM, server, address });
+        }
+    }
+}
+
 /// Accepts connections, with the port closed while the server is crashed.
 async fn listen(shared: Arc<Shared>, listener: TcpListener, address: SocketAddr) {
     let mut listener = Some(listener);
--- a/crates/gcl-standin/src/database/session.rs
+++ b/crates/gcl-standin/src/database/session.rs
@@ -279,6 +279,7 @@
         let _slot = shared.slots.acquire().await;
         let delay = shared.options.statement_delay + shared.faults().slow;
         if !delay.is_zero() {
+            shared.signal();
             tokio::time::sleep(delay).await;
         }
         let mut node = shared.node();
--- a/crates/gcl-standin/src/database/settings.rs
+++ b/crates/gcl-standin/src/database/settings.rs
@@ -1,6 +1,6 @@
 //! The settings file of the `database` command.
 
-use super::{Lag, Options};
+use super::{Boot, Lag, Options};
 use eyre::WrapErr;
 use serde::Deserialize;
 use std::{net::SocketAddr, time::Duration};
@@ -34,6 +34,10 @@
     /// Lag between holding an entry and showing it to reads, in milliseconds.
     #[serde(default)]
     pub apply_lag_ms: u64,
+    /// What it does in its group at its start: `"empty"`, `"primary"` or
+    /// `{"follow": {"server": NAME, "address": "ip:port"}}`.
+    #[serde(default)]
+    pub boot: Boot,
 }
 
 fn connections() -> usize {
@@ -69,6 +73,7 @@
                 receive: Duration::from_millis(self.receive_lag_ms),
                 apply: Duration::from_millis(self.apply_lag_ms),
             },
+            boot: self.boot,
         }
     }
 }
--- a/crates/gcl-standin/src/database/shared.rs
+++ b/crates/gcl-standin/src/database/shared.rs
@@ -77,6 +77,11 @@
         self.node.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// The statements that run.
+    pub fn running(&self) -> usize {
+        self.options.slots - self.slots.available_permits()
+    }
+
     /// Signals that the state changed.
     pub fn signal(&self) {
         self.changes.send_modify(|count| *count += 1);
--- a/crates/gcl-standin/src/database/sql.rs
+++ b/crates/gcl-standin/src/database/sql.rs
@@ -52,6 +52,9 @@
             statement.casts.extend(casts);
         } else if is_comment(token) {
             statement.sql.push(' ');
+        } else if is_escaped(token) {
+            let text = literal(token).replace('\'', "''");
+            statement.sql.extend(["'", text.as_str(), "'"]);
         } else {
             statement.sql.push_str(token);
             last = token;
@@ -88,7 +91,9 @@
 #[must_use]
 pub fn literal(token: &str) -> String {
     let quoted = |quote: char| token.strip_prefix(quote).and_then(|rest| rest.strip_suffix(quote));
-    if let Some(inner) = quoted('\'') {
+    if is_escaped(token) {
+        unescape(token.get(2..token.len() - 1).unwrap_or_default())
+    } else if let Some(inner) = quoted('\'') {
         inner.replace("''", "'")
     } else if let Some(inner) = quoted('"') {
         inner.replace("\"\"", "\"")
@@ -143,6 +148,24 @@
     tuples.flat_map(tuple).collect()
 }
 
+/// Whether a token is a literal with escapes, `E'...'`.
+fn is_escaped(token: &str) -> bool {
+    token.starts_with("E'") || token.starts_with("e'")
+}
+
+fn unescape(inner: &str) -> String {
+    let mut text = String::with_capacity(inner.len());
+    let mut chars = inner.chars();
+    while let Some(c) = chars.next() {
+        if c == '\\' || c == '\'' {
+            text.extend(chars.next());
+        } else {
+            text.push(c);
+        }
+    }
+    text
+}
+
 fn is_comment(token: &str) -> bool {
     token.starts_with("--") || token.starts_with("/*")
 }
@@ -157,7 +180,8 @@
     };
     match first {
         c if c.is_whitespace() => span(char::is_whitespace),
-        '\'' | '"' => quoted_length(text, first),
+        '\'' | '"' => quoted_length(text, first, false),
+        _ if is_escaped(text) => 1 + quoted_length(&text[1..], '\'', true),
         '$' => 1 + text[1..].find(|c| !is_word(c)).unwrap_or(text.len() - 1),
         c if is_word(c) => span(is_word),
         _ if text.starts_with("--") => until("\n", 2),
@@ -171,10 +195,12 @@
     c.is_alphanumeric() || c == '_' || c == '.'
 }
 
-fn quoted_length(text: &str, quote: char) -> usize {
+fn quoted_length(text: &str, quote: char, escaped: bool) -> usize {
     let mut chars = text.char_indices().skip(1).peekable();
     while let Some((at, c)) = chars.next() {
-        if c == quote {
+        if escaped && c == '\\' {
+            chars.next();
+        } else if c == quote {
             if chars.peek().is_some_and(|(_, next)| *next == quote) {
                 chars.next();
             } else {
--- a/crates/gcl-standin/tests/standin/database.rs
+++ b/crates/gcl-standin/tests/standin/database.rs
@@ -1,7 +1,7 @@
 //! The database stand-in, met by an ordinary driver.
 
 use gcl_core::{mark::Mark, server::Role};
-use gcl_standin::database::{Lag, Options, Server, fault::Fault};
+use gcl_standin::database::{Boot, Lag, Options, Server, fault::Fault, settings::Settings};
 use std::time::Duration;
 use tokio_postgres::{Client, Config, NoTls, SimpleQueryMessage, error::SqlState};
 
@@ -137,3 +137,23 @@
     assert_eq!(report[3..5], ["1", "2"], "received");
     assert_eq!(report[5..7], ["1", "1"], "applied");
 }
+
+#[tokio::test]
+async fn a_group_is_set_up_by_its_settings() {
+    let text = r#"{ "name": "a", "address": "127.0.0.1:0", /* first */ "boot": "primary" }"#;
+    let options = Settings::parse(text).expect("valid settings").options();
+    let primary = Server::start(options).await.expect("a port is free");
+    let text = format!(
+        r#"{{ "name": "b", "address": "127.0.0.1:0", "apply_lag_ms": 1,
+            "boot": {{ "follow": {{ "server": "a", "address": "{}" }} }} }}"#,
+        primary.address()
+    );
+    let options = Settings::parse(&text).expect("valid settings").options();
+    assert!(matches!(options.boot, Boot::Follow { .. }));
+    let replica = Server::start(options).await.expect("a port is free");
+    let report = replica.reached(|report| report.applied == Mark::new(1, 1)).await;
+    assert_eq!((report.term, report.role), (1, Role::Replica));
+    assert_eq!(primary.report().role, Role::Primary);
+    Settings::parse(r#"{ "name": "a", "address": "127.0.0.1:0", "lag": 1 }"#)
+        .expect_err("unknown fields are refused");
+}
