feat(wire): carry requests and answers as protobuf, the rest as JSON

Cause: daemons need a protocol between them. Weighed: one protobuf message for every control message (much conversion code for slow traffic), a positional codec (breaks between releases while VMs are replaced), JSON inside the envelope for all but Run and Answer (chosen). The generated code is committed; a test regenerates it and compares.

--- /dev/null
+++ b/crates/gcl-wire/tests/wire/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the peer protocol.
+
+mod convert;
+mod generated;
