--- a/crates/gcl-core/src/home/mod.rs
+++ b/crates/gcl-core/src/home/mod.rs
@@ -291,6 +291,19 @@
     }
 }
 
+/// Tells an entry what became of a request, and refuses it from then on if it never started.
+pub fn on_ask_fate(
+    _daemon: &mut Daemon,
+    _now: Now,
+    _fx: &mut Effects,
+    _from: &id::Daemon,
+    _request: id::Request,
+) {
+}
+
+/// Follows a change of the living daemons.
+pub fn on_members(_daemon: &mut Daemon, _now: Now, _fx: &mut Effects) {}
+
 /// Acts on a message of another home.
 pub fn on_message(
     _daemon: &mut Daemon,
--- a/crates/gcl-core/src/request/mod.rs
+++ b/crates/gcl-core/src/request/mod.rs
@@ -30,6 +30,24 @@
     Cancel(id::Request),
     /// Rolls back and releases a transaction whose session ended.
     Release(id::Transaction),
+    /// Asks a home what became of a request; a home that never started it refuses it from then on.
+    AskFate(id::Request),
+    /// Answers [`Message::AskFate`]; a request that has ended is answered by its `Answer` again.
+    Fate {
+        /// The request.
+        request: id::Request,
+        /// What the home knows of it.
+        fate: Fate,
+    },
+}
+
+/// What a home knows of a request that has no answer yet.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Fate {
+    /// It is queued or running; its answer will come.
+    Running,
+    /// It was never started here, and can no longer be.
+    NeverSeen,
 }
 
 /// A caller's request, as its session hands it in.
@@ -319,9 +337,31 @@
     match message {
         Message::Cancel(request) => home::on_cancel(daemon, now, fx, from, *request),
         Message::Release(transaction) => home::on_release(daemon, now, fx, from, *transaction),
+        Message::AskFate(request) => home::on_ask_fate(daemon, now, fx, from, *request),
+        Message::Fate { request, fate } => on_fate(daemon, now, fx, from, *request, *fate),
     }
 }
 
+/// Takes a home's word on the fate of a request.
+fn on_fate(
+    _daemon: &mut Daemon,
+    _now: Now,
+    _fx: &mut Effects,
+    _from: &id::Daemon,
+    _request: id::Request,
+    _fate: Fate,
+) {
+}
+
+/// Tries again what waits for a leader of a database.
+pub fn on_leader_change(
+    _daemon: &mut Daemon,
+    _now: Now,
+    _fx: &mut Effects,
+    _database: &id::Database,
+) {
+}
+
 /// Resolves what was sent to a lost daemon.
 pub fn on_lost(_daemon: &mut Daemon, _now: Now, _fx: &mut Effects, _lost: &id::Daemon) {}
 
