feat(request): resend only what cannot run twice, ask for the fate of the rest

Cause: the entry gave up on the first refusal and never resolved a lost answer. Refusals that another try can mend are repeated with seeded, doubling waits until the deadline; overload repeats cost a budget earned by new requests; a request sent to a lost home is asked after, and sent again only when its home says that it never started. A refusal that follows a try in doubt is reported as unknown: with that rule removed, the two tests on it fail (a_refusal_after_..., a_deadline_after_...), with it all pass.

--- a/crates/gcl-core/src/member/mod.rs
+++ b/crates/gcl-core/src/member/mod.rs
@@ -68,6 +68,13 @@
         .map(|(name, _)| (*name).clone())
 }
 
+/// Whether a daemon is not known to be dead.
+#[must_use]
+pub fn lives(daemon: &Daemon, name: &id::Daemon) -> bool {
+    let member = daemon.member.members.get(name);
+    *name == daemon.settings.daemon || member.is_some_and(|member| member.alive)
+}
+
 /// Sends a message to a daemon, itself included.
 pub fn send(daemon: &Daemon, fx: &mut Effects, to: &id::Daemon, message: peer::Message) {
     let address = daemon.member.members.get(to).map(|member| member.address.clone());
--- /dev/null
+++ b/crates/gcl-core/src/request/attempt.rs
@@ -0,0 +1,126 @@
+//! One try of a request: choosing a server and its home, and sending it there.
+
+use super::{Pending, Stage, outcome, retry, transaction};
+use crate::{
+    code::{Code, Fault, Result},
+    effect::Effects,
+    group::{self, Choice, Need},
+    id, member, peer,
+    record::{self, Line},
+    run::{Outcome, Run},
+    state::State as Daemon,
+    statement::Class,
+    time::Now,
+};
+
+/// Tries a request, or has it wait for what the try lacks.
+pub(super) fn start(daemon: &mut Daemon, now: Now, fx: &mut Effects, request: id::Request) {
+    let Some(pending) = daemon.request.pending.get(&request) else { return };
+    if pending.deadline <= now.mono {
+        let fault = Fault::new(Code::Deadline, "the deadline passed before the request was sent");
+        return outcome::finish(daemon, now, fx, request, Outcome::NotRun(fault));
+    }
+    if let Err(fault) = dispatch(daemon, now, fx, request) {
+        retry::after_refusal(daemon, now, fx, request, fault);
+    }
+}
+
+fn dispatch(daemon: &mut Daemon, now: Now, fx: &mut Effects, request: id::Request) -> Result<()> {
+    let Some(pending) = daemon.request.pending.get(&request) else { return Ok(()) };
+    let (choice, home) = match daemon.request.open.get(&pending.submit.session) {
+        Some(open) => {
+            let (server, access) = (open.server.clone(), open.access);
+            (Choice { server, access, reason: "transaction" }, open.home.clone())
+        }
+        None => choose(daemon, now, fx, request)?,
+    };
+    send(daemon, now, fx, request, choice, home);
+    Ok(())
+}
+
+fn choose(
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    request: id::Request,
+) -> Result<(Choice, id::Daemon)> {
+    let lost = || Fault::new(Code::HomeLost, "no daemon lives to serve the server");
+    let pending = daemon.request.pending.get(&request).ok_or_else(lost)?;
+    let (database, need) = (pending.place.database.clone(), need(pending));
+    if need == Need::Write && !pending.place.writable {
+        return Err(Fault::new(Code::RouteClosed, "the route key is being moved"));
+    }
+    let mut choice = group::choose(daemon, now, fx, &database, need)?;
+    let pending = daemon.request.pending.get(&request).ok_or_else(lost)?;
+    if pending.avoided.contains(&choice.server) {
+        choice = group::choose(daemon, now, fx, &database, Need::Strong)?;
+    }
+    let home = member::home(daemon, &choice.server).ok_or_else(lost)?;
+    Ok((choice, home))
+}
+
+fn need(pending: &Pending) -> Need {
+    let max_age = pending.submit.options.max_age.unwrap_or(pending.place.max_age);
+    let aged = !max_age.is_zero();
+    match pending.submit.class {
+        _ if pending.writes => Need::Write,
+        Class::Read | Class::Call | Class::Begin { read_only: true } if aged => {
+            let floor = pending.submit.floor.get(&pending.place.database).copied();
+            Need::Aged { floor, max_age }
+        }
+        Class::Read | Class::Begin { read_only: true } => Need::Strong,
+        _ => Need::Write,
+    }
+}
+
+fn send(
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    request: id::Request,
+    choice: Choice,
+    home: id::Daemon,
+) {
+    let Some(pending) = daemon.request.pending.get(&request) else { return };
+    let scope = transaction::scope(daemon, &pending.submit);
+    let run = Run {
+        request,
+        attempt: pending.attempt + 1,
+        workspace: pending.submit.workspace.clone(),
+        database: pending.place.database.clone(),
+        server: choice.server.clone(),
+        revision: pending.place.revision,
+        access: choice.access,
+        scope,
+        ends: matches!(pending.submit.class, Class::Commit | Class::Rollback),
+        variables: pending.submit.variables.clone(),
+        batch: pending.submit.batch.clone(),
+        idempotency: pending.submit.options.request,
+        repeatable: pending.harmless_twice(),
+        budget: pending.deadline.saturating_sub(now.mono),
+    };
+    fx.record(route_line(pending, &run, choice.reason));
+    member::send(daemon, fx, &home, peer::Message::Run(Box::new(run)));
+    if let Some(pending) = daemon.request.pending.get_mut(&request) {
+        pending.attempt += 1;
+        pending.stage = Stage::Sent;
+        pending.access = Some(choice.access);
+        pending.home = home;
+        pending.server = choice.server;
+    }
+}
+
+fn route_line(pending: &Pending, run: &Run, reason: &'static str) -> Line {
+    Line {
+        workspace: run.workspace.clone(),
+        key: pending.submit.key.clone(),
+        session: Some(pending.submit.session),
+        request: record::request(run.request),
+        rule: pending.place.rule.clone(),
+        revision: Some(run.revision),
+        database: run.database.clone(),
+        server: run.server.clone(),
+        reason: reason.into(),
+        ..Line::new(record::Kind::Route)
+    }
+}
--- a/crates/gcl-core/src/request/mod.rs
+++ b/crates/gcl-core/src/request/mod.rs
@@ -1,17 +1,32 @@
 //! A request at its entry: admission, placement, tries, and its one outcome.
+//!
+//! A request is sent again only when that cannot run it twice: its home said that it was not run,
+//! or it only reads, or it is idempotent, or its caller declared it repeatable. Everything else
+//! whose answer is lost ends as unknown, after the home was asked for its fate.
+
+mod attempt;
+mod fate;
+mod outcome;
+mod retry;
+mod transaction;
+
+pub use self::{
+    fate::{Fate, on_lost},
+    outcome::{on_answer, on_deadline},
+    retry::{on_leader_change, on_retry},
+};
 
 use crate::{
-    batch::{Batch, Status},
-    code::{Code, Fault, Result},
+    batch::Batch,
+    code::{Fault, Result},
     effect::Effects,
-    group::{self, Need},
     home, id,
     limit::{self, Admission},
     mark::Mark,
     member, peer,
     record::{self, Line},
     route::{self, Place},
-    run::{Answer, Outcome, Run, Scope},
+    run::{Access, Outcome},
     session,
     state::State as Daemon,
     statement::{Class, Options},
@@ -41,15 +56,6 @@
     },
 }
 
-/// What a home knows of a request that has no answer yet.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Fate {
-    /// It is queued or running; its answer will come.
-    Running,
-    /// It was never started here, and can no longer be.
-    NeverSeen,
-}
-
 /// A caller's request, as its session hands it in.
 #[derive(Clone, Debug)]
 pub struct Submit {
@@ -73,58 +79,82 @@
     pub batch: Batch,
 }
 
+/// Where a request stands.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Stage {
+    /// Waits for a token of its workspace's rate.
+    Admission,
+    /// Waits for a timer or a leader before its next try; the outcome if there is none.
+    Waiting(Outcome),
+    /// Sent to a home.
+    Sent,
+    /// Its home was lost and is asked for its fate.
+    Asking,
+}
+
 /// A request that has no outcome yet.
 #[derive(Clone, Debug)]
 struct Pending {
     submit: Submit,
     place: Place,
-    scope: Scope,
+    stage: Stage,
     attempt: u32,
+    tries: u32,
+    submitted: Duration,
     deadline: Duration,
     home: id::Daemon,
     server: id::Server,
-}
-
-/// Where a session's open transaction lives.
-#[derive(Clone, Debug)]
-struct Open {
-    transaction: id::Transaction,
-    place: Place,
-    home: id::Daemon,
-    server: id::Server,
+    /// What it needed of the server that it was sent to.
+    access: Option<Access>,
+    /// Replicas that could not serve it.
+    avoided: Vec<id::Server>,
+    /// The fault of a try that may have run; no later refusal makes that undone.
+    doubt: Option<Fault>,
+    /// Whether a server found that it writes.
+    writes: bool,
 }
 
 /// The requests and open transactions of this entry.
 #[derive(Clone, Debug, Default)]
 pub struct State {
     pending: IndexMap<id::Request, Pending>,
-    open: IndexMap<id::Session, Open>,
+    open: IndexMap<id::Session, transaction::Open>,
+    budget: retry::Budget,
+}
+
+impl State {
+    /// Requests without an outcome.
+    #[must_use]
+    pub fn pending(&self) -> usize {
+        self.pending.len()
+    }
 }
 
 /// Takes a request; its outcome comes by [`session::on_outcome`].
 pub fn submit(daemon: &mut Daemon, now: Now, fx: &mut Effects, submit: Submit) {
     let request = daemon.counters.request();
-    let route_key = submit.options.route.clone().unwrap_or_else(|| submit.workspace.clone());
-    let snapshot = &daemon.config.snapshot;
-    let place = match daemon.request.open.get(&submit.session) {
-        Some(open) => Ok(open.place.clone()),
-        None => route::place(snapshot, &submit.workspace, &submit.service, &route_key),
-    };
-    let place = match place {
+    let place = match transaction::place(daemon, &submit) {
         Ok(place) => place,
         Err(fault) => return refuse(daemon, now, fx, request, &submit, fault),
     };
     let timeout = submit.options.timeout.unwrap_or_else(|| daemon.settings.request_timeout());
     let workspace = submit.workspace.clone();
     let pending = Pending {
-        scope: scope(daemon, &submit),
         submit,
         place,
+        stage: Stage::Admission,
         attempt: 0,
+        tries: 0,
+        submitted: now.mono,
         deadline: now.mono + timeout,
         home: id::Daemon::default(),
         server: id::Server::default(),
+        access: None,
+        avoided: Vec::new(),
+        doubt: None,
+        writes: false,
     };
+    daemon.request.budget.earn();
     fx.arm(timer::Key::Deadline(request), pending.deadline);
     daemon.request.pending.insert(request, pending);
     match limit::admit(daemon, now, fx, &workspace, request) {
@@ -134,12 +164,10 @@
     }
 }
 
-fn scope(daemon: &Daemon, submit: &Submit) -> Scope {
-    match daemon.request.open.get(&submit.session) {
-        Some(open) => Scope::Within(open.transaction),
-        None if matches!(submit.class, Class::Begin { .. }) => Scope::Begin,
-        None => Scope::Single,
-    }
+/// Places a request outside a transaction.
+fn place(daemon: &Daemon, submit: &Submit) -> Result<Place> {
+    let route_key = submit.options.route.as_ref().unwrap_or(&submit.workspace);
+    route::place(&daemon.config.snapshot, &submit.workspace, &submit.service, route_key)
 }
 
 /// Takes the word of the limits on a request.
@@ -151,128 +179,8 @@
     admission: Result<()>,
 ) {
     match admission {
-        Ok(()) => attempt(daemon, now, fx, request),
-        Err(fault) => finish(daemon, now, fx, request, Outcome::NotRun(fault)),
-    }
-}
-
-fn attempt(daemon: &mut Daemon, now: Now, fx: &mut Effects, request: id::Request) {
-    match dispatch(daemon, now, fx, request) {
-        Ok(()) => {}
-        Err(fault) => finish(daemon, now, fx, request, Outcome::NotRun(fault)),
-    }
-}
-
-fn dispatch(daemon: &mut Daemon, now: Now, fx: &mut Effects, request: id::Request) -> Result<()> {
-    let Some(pending) = daemon.request.pending.get(&request).cloned() else {
-        return Ok(());
-    };
-    let need = need(&pending);
-    let choice = group::choose(daemon, now, fx, &pending.place.database, need)?;
-    let open = daemon.request.open.get(&pending.submit.session);
-    let (server, home) = if let Some(open) = open {
-        (open.server.clone(), open.home.clone())
-    } else {
-        let home = member::home(daemon, &choice.server)
-            .ok_or_else(|| Fault::new(Code::HomeLost, "no daemon lives to serve the server"))?;
-        (choice.server, home)
-    };
-    let run = Run {
-        request,
-        attempt: pending.attempt + 1,
-        workspace: pending.submit.workspace.clone(),
-        database: pending.place.database.clone(),
-        server: server.clone(),
-        revision: pending.place.revision,
-        access: choice.access,
-        scope: pending.scope,
-        ends: matches!(pending.submit.class, Class::Commit | Class::Rollback),
-        variables: pending.submit.variables.clone(),
-        batch: pending.submit.batch.clone(),
-        idempotency: pending.submit.options.request,
-        repeatable: pending.submit.options.repeatable.unwrap_or(false),
-        budget: pending.deadline.saturating_sub(now.mono),
-    };
-    fx.record(Line {
-        workspace: run.workspace.clone(),
-        key: pending.submit.key.clone(),
-        session: Some(pending.submit.session),
-        request: record::request(request),
-        rule: pending.place.rule.clone(),
-        revision: Some(run.revision),
-        database: run.database.clone(),
-        server: server.clone(),
-        reason: choice.reason.into(),
-        ..Line::new(record::Kind::Route)
-    });
-    member::send(daemon, fx, &home, peer::Message::Run(Box::new(run)));
-    if let Some(pending) = daemon.request.pending.get_mut(&request) {
-        pending.attempt += 1;
-        pending.home = home;
-        pending.server = server;
-    }
-    Ok(())
-}
-
-fn need(pending: &Pending) -> Need {
-    let max_age = pending.submit.options.max_age.unwrap_or(pending.place.max_age);
-    match pending.submit.class {
-        Class::Read | Class::Call | Class::Begin { read_only: true } if !max_age.is_zero() => {
-            let floor = pending.submit.floor.get(&pending.place.database).copied();
-            Need::Aged { floor, max_age }
-        }
-        Class::Read => Need::Strong,
-        _ => Need::Write,
-    }
-}
-
-/// Takes a home's answer.
-pub fn on_answer(
-    daemon: &mut Daemon,
-    now: Now,
-    fx: &mut Effects,
-    _from: &id::Daemon,
-    answer: Answer,
-) {
-    let Some(pending) = daemon.request.pending.get(&answer.request) else {
-        return;
-    };
-    if pending.attempt != answer.attempt {
-        return;
-    }
-    let database = pending.place.database.clone();
-    if let Some(leader) = answer.leader {
-        group::on_leader(daemon, &database, leader);
-    }
-    finish(daemon, now, fx, answer.request, answer.outcome);
-}
-
-fn finish(daemon: &mut Daemon, now: Now, fx: &mut Effects, request: id::Request, outcome: Outcome) {
-    let Some(pending) = daemon.request.pending.swap_remove(&request) else {
-        return;
-    };
-    fx.cancel(timer::Key::Deadline(request));
-    track(daemon, request, &pending, &outcome);
-    let session = pending.submit.session;
-    session::on_outcome(daemon, now, fx, session, &pending.place.database, outcome);
-}
-
-fn track(daemon: &mut Daemon, request: id::Request, pending: &Pending, outcome: &Outcome) {
-    let session = pending.submit.session;
-    match outcome {
-        Outcome::Done { status: Status::Idle, .. } => {
-            daemon.request.open.swap_remove(&session);
-        }
-        Outcome::Done { .. } if !daemon.request.open.contains_key(&session) => {
-            let open = Open {
-                transaction: request,
-                place: pending.place.clone(),
-                home: pending.home.clone(),
-                server: pending.server.clone(),
-            };
-            daemon.request.open.insert(session, open);
-        }
-        _ => {}
+        Ok(()) => attempt::start(daemon, now, fx, request),
+        Err(fault) => outcome::finish(daemon, now, fx, request, Outcome::NotRun(fault)),
     }
 }
 
@@ -287,6 +195,7 @@
     fx.record(Line {
         code: Some(fault.code),
         workspace: submit.workspace.clone(),
+        key: submit.key.clone(),
         session: Some(submit.session),
         request: record::request(request),
         reason: fault.detail.clone(),
@@ -296,34 +205,20 @@
     session::on_outcome(daemon, now, fx, submit.session, &none, Outcome::NotRun(fault));
 }
 
-/// Refuses or ends a request whose deadline passed.
-pub fn on_deadline(daemon: &mut Daemon, now: Now, fx: &mut Effects, request: id::Request) {
-    let fault = Fault::new(Code::OutcomeUnknown, "no answer came before the deadline");
-    finish(daemon, now, fx, request, Outcome::Unknown(fault));
-}
-
-/// Tries a request again.
-pub fn on_retry(daemon: &mut Daemon, now: Now, fx: &mut Effects, request: id::Request) {
-    attempt(daemon, now, fx, request);
-}
-
 /// Cancels what a session is running.
-pub fn cancel(daemon: &mut Daemon, _now: Now, fx: &mut Effects, session: id::Session) {
+pub fn cancel(daemon: &mut Daemon, now: Now, fx: &mut Effects, session: id::Session) {
     let pending = daemon.request.pending.iter();
-    let running = pending.filter(|(_, pending)| pending.submit.session == session);
-    for (request, pending) in running {
-        let message = peer::Message::Request(Message::Cancel(*request));
-        member::send(daemon, fx, &pending.home, message);
+    let of_session = pending.filter(|(_, pending)| pending.submit.session == session);
+    let requests: Vec<id::Request> = of_session.map(|(request, _)| *request).collect();
+    for request in requests {
+        outcome::cancel(daemon, now, fx, request);
     }
 }
 
 /// Gives up what a closed session has open.
 pub fn on_session_closed(daemon: &mut Daemon, now: Now, fx: &mut Effects, session: id::Session) {
     cancel(daemon, now, fx, session);
-    if let Some(open) = daemon.request.open.swap_remove(&session) {
-        let message = peer::Message::Request(Message::Release(open.transaction));
-        member::send(daemon, fx, &open.home, message);
-    }
+    transaction::release(daemon, fx, session);
 }
 
 /// Acts on a message between entry and home.
@@ -338,35 +233,29 @@
         Message::Cancel(request) => home::on_cancel(daemon, now, fx, from, *request),
         Message::Release(transaction) => home::on_release(daemon, now, fx, from, *transaction),
         Message::AskFate(request) => home::on_ask_fate(daemon, now, fx, from, *request),
-        Message::Fate { request, fate } => on_fate(daemon, now, fx, from, *request, *fate),
+        Message::Fate { request, fate } => fate::on_fate(daemon, now, fx, from, *request, *fate),
     }
 }
 
-/// Takes a home's word on the fate of a request.
-fn on_fate(
-    _daemon: &mut Daemon,
-    _now: Now,
-    _fx: &mut Effects,
-    _from: &id::Daemon,
-    _request: id::Request,
-    _fate: Fate,
-) {
+/// Sends a message about a request to a home.
+fn tell(daemon: &Daemon, fx: &mut Effects, home: &id::Daemon, message: Message) {
+    member::send(daemon, fx, home, peer::Message::Request(message));
 }
 
-/// Tries again what waits for a leader of a database.
-pub fn on_leader_change(
-    _daemon: &mut Daemon,
-    _now: Now,
-    _fx: &mut Effects,
-    _database: &id::Database,
-) {
-}
-
-/// Resolves what was sent to a lost daemon.
-pub fn on_lost(_daemon: &mut Daemon, _now: Now, _fx: &mut Effects, _lost: &id::Daemon) {}
-
 /// Whether work is left that a planned stop has to wait for.
 #[must_use]
 pub fn busy(daemon: &Daemon) -> bool {
     !daemon.request.pending.is_empty() || !daemon.request.open.is_empty()
 }
+
+impl Pending {
+    /// Whether running it twice does no harm.
+    fn harmless_twice(&self) -> bool {
+        let reads = matches!(self.submit.class, Class::Read) && !self.writes;
+        let declared = self.submit.options.repeatable == Some(true);
+        let idempotent = self.submit.options.request.is_some();
+        let begins = matches!(self.submit.class, Class::Begin { .. });
+        let forbidden = self.submit.options.repeatable == Some(false);
+        reads || begins || (!forbidden && (declared || idempotent))
+    }
+}
--- a/crates/gcl-core/tests/core/fixture.rs
+++ b/crates/gcl-core/tests/core/fixture.rs
@@ -1,6 +1,8 @@
 //! Daemons and times for the tests.
 
 use gcl_core::{
+    config::object::Object,
+    member::Member,
     settings::{Bounds, Listen, Settings},
     state::State,
     time::Now,
@@ -34,3 +36,48 @@
 pub const fn at(ms: u64) -> Now {
     Now::at(Duration::from_millis(ms))
 }
+
+/// A daemon that holds a small configuration and knows two others.
+pub fn configured(name: &str) -> State {
+    let mut state = daemon(name);
+    let snapshot = &mut state.config.snapshot;
+    for (index, object) in objects().into_iter().enumerate() {
+        snapshot.put(index as u64 + 1, object);
+    }
+    snapshot.revision = 100;
+    snapshot.index();
+    state.config.confirmed = Some(Duration::ZERO);
+    for (name, domain) in [("d1", "alpha"), ("d2", "alpha"), ("d3", "beta")] {
+        if name != state.settings.daemon {
+            let member = Member {
+                daemon: name.into(),
+                domain: domain.into(),
+                address: "127.0.0.1:1".into(),
+                incarnation: 1,
+                alive: true,
+            };
+            state.member.members.insert(name.into(), member);
+        }
+    }
+    state
+}
+
+/// A service of one database with three servers in two failure domains, a workspace and its key.
+pub fn objects() -> Vec<Object> {
+    let text = r#"[
+        {"kind": "domain", "name": "alpha", "region": "east"},
+        {"kind": "domain", "name": "beta", "region": "east"},
+        {"kind": "service", "name": "orders-db"},
+        {"kind": "database", "name": "orders-1", "service": "orders-db"},
+        {"kind": "server", "name": "orders-1-a", "database": "orders-1", "domain": "alpha",
+         "address": "127.0.0.1:5401", "slots": 3, "connections": 20},
+        {"kind": "server", "name": "orders-1-b", "database": "orders-1", "domain": "alpha",
+         "address": "127.0.0.1:5402", "slots": 3, "connections": 20},
+        {"kind": "server", "name": "orders-1-c", "database": "orders-1", "domain": "beta",
+         "address": "127.0.0.1:5403", "slots": 3, "connections": 20},
+        {"kind": "workspace", "name": "altyn", "rate": 100000, "burst": 100000},
+        {"kind": "key", "name": "k1", "workspace": "altyn", "hash": ""},
+        {"kind": "rule", "name": "orders", "service": "orders-db"}
+    ]"#;
+    serde_json::from_str(text).expect("the objects are well formed")
+}
