feat: stand-in of the platform and a client of its store

The stand-in keeps the etcd v3 JSON gateway's shapes (base64, 64-bit numbers as text, one JSON line per watch answer) and shows outages, slowness, lost answers, old reads and a rate limit on demand. The client tells a call that never left (Unreached) from one that may have taken effect (Lost); only a failed connect or a turn that never came counts as the former. Op::Unwatch ends a watch.

--- a/crates/gcl-core/src/store.rs
+++ b/crates/gcl-core/src/store.rs
@@ -36,6 +36,17 @@
     },
 }
 
+impl Change {
+    /// The revision of the change.
+    #[must_use]
+    pub const fn revision(&self) -> id::Revision {
+        match self {
+            Self::Put(entry) => entry.revision,
+            Self::Deleted { revision, .. } => *revision,
+        }
+    }
+}
+
 /// A question to the store.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Op {
@@ -76,6 +87,8 @@
     },
     /// Reads the platform's lagging list of VMs.
     Vms,
+    /// Ends a watch, without an answer.
+    Unwatch(id::Call),
 }
 
 /// A call with its id.
--- a/crates/gcl-standin/src/lib.rs
+++ b/crates/gcl-standin/src/lib.rs
@@ -1,1 +1,3 @@
-//! Placeholder.
+//! Stand-ins for the platform and the databases; ships nowhere.
+
+pub mod platform;
--- /dev/null
+++ b/crates/gcl-store/src/convert.rs
@@ -0,0 +1,105 @@
+//! From the reducer's calls to messages of the gateway, and back.
+
+use crate::gateway::{
+    Blob, Change, Compare, DeleteRequest, Int, KeyValue, Kind, LeaseRequest, PutRequest,
+    RangeRequest, Relation, RequestOp, ResponseOp, Target, TxnRequest, TxnResponse,
+};
+use compact_str::CompactString;
+use gcl_core::store::{self, Entry, Failure, Lease, Reply};
+use std::time::Duration;
+
+/// The outcome of a call, as the reducer takes it.
+pub type Result<T> = std::result::Result<T, Failure>;
+
+/// Reads one key.
+pub fn get(key: &str) -> RangeRequest {
+    RangeRequest { key: Blob::text(key), ..RangeRequest::default() }
+}
+
+/// Reads all keys with a prefix.
+pub fn list(prefix: &str) -> RangeRequest {
+    RangeRequest {
+        key: Blob::text(prefix),
+        range_end: Blob::prefix_end(prefix),
+        ..RangeRequest::default()
+    }
+}
+
+/// Does `change` if the last change of `key` is `expected`, and reads the key otherwise.
+pub fn swap(key: &str, expected: u64, change: RequestOp) -> TxnRequest {
+    let compare = Compare {
+        result: Relation::Equal,
+        target: Target::Mod,
+        key: Blob::text(key),
+        mod_revision: Int(expected),
+        ..Compare::default()
+    };
+    TxnRequest {
+        compare: vec![compare],
+        success: vec![change],
+        failure: vec![RequestOp::RequestRange(get(key))],
+    }
+}
+
+/// Writes a key.
+pub fn put(key: &str, value: &[u8], lease: Lease) -> RequestOp {
+    RequestOp::RequestPut(PutRequest {
+        key: Blob::text(key),
+        value: Blob(value.to_vec()),
+        lease: Int(lease),
+    })
+}
+
+/// Removes a key.
+pub fn delete(key: &str) -> RequestOp {
+    RequestOp::RequestDeleteRange(DeleteRequest {
+        key: Blob::text(key),
+        ..DeleteRequest::default()
+    })
+}
+
+/// Asks for a lease; the store counts whole seconds.
+pub fn grant(time: Duration) -> LeaseRequest {
+    let seconds = time.as_millis().div_ceil(1000).max(1);
+    LeaseRequest { ttl: Int(u64::try_from(seconds).unwrap_or(u64::MAX)), id: Int(0) }
+}
+
+/// The reply to a compare-and-swap.
+pub fn swapped(answer: TxnResponse) -> Result<Reply> {
+    let revision = answer.header.revision.0;
+    if answer.succeeded {
+        return Ok(Reply::Changed(revision));
+    }
+    match answer.responses.into_iter().next() {
+        Some(ResponseOp::ResponseRange(range)) => {
+            let entry = range.kvs.into_iter().next().map(entry).transpose()?;
+            Ok(Reply::Conflict(entry, revision))
+        }
+        _ => Err(Failure::Lost),
+    }
+}
+
+/// An entry of the store; a key that is no text is nothing of ours.
+pub fn entry(kv: KeyValue) -> Result<Entry> {
+    Ok(Entry {
+        key: text(kv.key)?,
+        value: kv.value.0.into(),
+        revision: kv.mod_revision.0,
+        lease: kv.lease.0,
+    })
+}
+
+/// A change that a watch saw.
+pub fn change(change: Change) -> Result<store::Change> {
+    match change.kind {
+        Kind::Put => entry(change.kv).map(store::Change::Put),
+        Kind::Delete => {
+            let revision = change.kv.mod_revision.0;
+            Ok(store::Change::Deleted { key: text(change.kv.key)?, revision })
+        }
+    }
+}
+
+fn text(blob: Blob) -> Result<CompactString> {
+    CompactString::from_utf8(blob.0).map_err(|_not_text| Failure::Lost)
+}
