feat: add the stand-in of a database group

SQLite behind a PostgreSQL front: simple and extended protocol, terms, log positions, fencing, promotion, pull replication with settable lag, rewinding of a diverged tail and faults on demand. Promotion appends an empty entry, so that each mark a primary reports is of its own term.

--- /dev/null
+++ b/crates/gcl-standin/src/database/connection.rs
@@ -0,0 +1,174 @@
+//! One client's connection: the `PostgreSQL` protocol around a session.
+
+use super::{
+    fault::Peer,
+    link::Link,
+    session::Session,
+    shared::{CancelKey, Shared},
+};
+use gcl_core::mark::Mark;
+use pgwire::messages::{
+    PgWireBackendMessage as Out, PgWireFrontendMessage as In, SslNegotiationMetaMessage,
+    response::{ReadyForQuery, SslResponse, TransactionStatus},
+    startup::{Authentication, BackendKeyData, ParameterStatus, SecretKey, Startup},
+};
+use std::{io, sync::Arc};
+use tokio::net::TcpStream;
+
+/// Name of the parameter that reports a session's mark.
+const MARK: &str = "goldcrest.mark";
+
+/// What a startup packet asks for.
+#[derive(Clone, Copy, Debug)]
+struct Login {
+    peer: Peer,
+    control: bool,
+}
+
+/// Counts a data connection for as long as it lives.
+struct Seat {
+    shared: Arc<Shared>,
+    key: CancelKey,
+    counted: bool,
+}
+
+impl Drop for Seat {
+    fn drop(&mut self) {
+        self.shared.unregister(self.key);
+        if self.counted {
+            self.shared.dismiss();
+        }
+    }
+}
+
+/// Serves a connection until it ends.
+///
+/// # Errors
+/// Why it broke.
+pub async fn serve(shared: Arc<Shared>, stream: TcpStream) -> io::Result<()> {
+    let mut link = Link::new(Arc::clone(&shared), stream)?;
+    let Some(startup) = negotiate(&shared, &mut link).await? else {
+        return Ok(());
+    };
+    let login = login(&startup);
+    link.peer = login.peer;
+    shared.pass(login.peer).await;
+    let id = shared.next_session();
+    let mut seat = Seat { shared: Arc::clone(&shared), key: cancel_key(id), counted: false };
+    if !login.control {
+        tokio::time::sleep(shared.options.open_delay).await;
+        if let Err(error) = shared.admit() {
+            link.error(&error)?;
+            return link.flush().await;
+        }
+        seat.counted = true;
+    }
+    let cancel = shared.register(seat.key);
+    let mut session = Session::new(Arc::clone(&shared), id, login.control, cancel);
+    for (name, value) in options(&startup) {
+        session.set(&name, value);
+    }
+    let mut door = Door { session, link, reported: None };
+    door.welcome(seat.key)?;
+    door.ready().await?;
+    super::dispatch::run(&mut door).await
+}
+
+/// A session with its connection.
+#[derive(Debug)]
+pub struct Door {
+    /// The session.
+    pub session: Session,
+    /// The connection.
+    pub link: Link,
+    reported: Option<Mark>,
+}
+
+impl Door {
+    fn welcome(&mut self, key: CancelKey) -> io::Result<()> {
+        self.link.put(&Out::Authentication(Authentication::Ok))?;
+        let parameters =
+            [("server_version", "16.0"), ("client_encoding", "UTF8"), ("DateStyle", "ISO, MDY")];
+        for (name, value) in parameters {
+            let status = ParameterStatus::new(name.to_owned(), value.to_owned());
+            self.link.put(&Out::ParameterStatus(status))?;
+        }
+        let secret = SecretKey::I32(key.secret);
+        self.link.put(&Out::BackendKeyData(BackendKeyData::new(key.process, secret)))
+    }
+
+    /// Ends a batch: reports the mark if it moved, then the status, and sends everything.
+    ///
+    /// # Errors
+    /// Why the connection broke, or that the answer was lost on purpose.
+    pub async fn ready(&mut self) -> io::Result<()> {
+        let mark = self.session.mark;
+        if !self.session.control && self.reported != Some(mark) {
+            self.reported = Some(mark);
+            let value = format!("{}/{}", mark.term, mark.position);
+            let status = ParameterStatus::new(MARK.to_owned(), value);
+            self.link.put(&Out::ParameterStatus(status))?;
+        }
+        let byte = self.session.status().byte();
+        let status = TransactionStatus::try_from(byte).unwrap_or(TransactionStatus::Error);
+        self.link.put(&Out::ReadyForQuery(ReadyForQuery::new(status)))?;
+        let committed = std::mem::take(&mut self.session.committed);
+        self.link.answer(committed, self.session.control).await
+    }
+}
+
+/// Answers requests for encryption and cancelling until a startup packet comes.
+async fn negotiate(shared: &Shared, link: &mut Link) -> io::Result<Option<Startup>> {
+    loop {
+        match link.next().await? {
+            Some(In::SslNegotiation(SslNegotiationMetaMessage::None)) => {
+                link.expect_startup();
+            }
+            Some(In::SslNegotiation(_)) => {
+                link.put(&Out::SslResponse(SslResponse::Refuse))?;
+                link.flush().await?;
+            }
+            Some(In::CancelRequest(request)) => {
+                let secret = request.secret_key.as_i32().unwrap_or_default();
+                shared.pass(Peer::Client).await;
+                shared.cancel(CancelKey { process: request.pid, secret });
+                return Ok(None);
+            }
+            Some(In::Startup(startup)) => {
+                link.started();
+                return Ok(Some(startup));
+            }
+            _ => return Ok(None),
+        }
+    }
+}
+
+fn login(startup: &Startup) -> Login {
+    let is_on = |name: &str| {
+        let direct = startup.parameters.get(name).is_some_and(|value| value == "on");
+        direct || options(startup).iter().any(|(option, value)| option == name && value == "on")
+    };
+    let peer = if is_on("standin.bench") {
+        Peer::Bench
+    } else if is_on("standin.server") {
+        Peer::Server
+    } else {
+        Peer::Client
+    };
+    Login { peer, control: is_on("goldcrest.control") }
+}
+
+/// The variables set by `-c name=value` in the startup packet's options.
+fn options(startup: &Startup) -> Vec<(String, String)> {
+    let text = startup.parameters.get("options").map(String::as_str).unwrap_or_default();
+    let pairs = text.split_whitespace().filter_map(|word| word.split_once('='));
+    pairs
+        .map(|(name, value)| (name.trim_start_matches("-c").to_owned(), value.to_owned()))
+        .collect()
+}
+
+#[expect(clippy::cast_possible_truncation, reason = "a test bench opens few connections")]
+fn cancel_key(id: u64) -> CancelKey {
+    let mixed = id.wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 33;
+    CancelKey { process: id as i32, secret: mixed as i32 }
+}
--- /dev/null
+++ b/crates/gcl-standin/src/database/engine.rs
@@ -0,0 +1,265 @@
+//! `SQLite` behind a server: one database in memory with a writing and a reading connection.
+
+use super::{
+    log::Statement,
+    sql::{self, Text},
+    value::{self, Value, oid},
+};
+use rusqlite::{Connection, ErrorCode, OpenFlags, ffi};
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// Numbers the databases of this process.
+static NEXT: AtomicU64 = AtomicU64::new(0);
+/// Statements that each connection keeps prepared.
+const CACHED: usize = 256;
+
+/// An SQL error as the protocol reports it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Error {
+    /// The SQLSTATE.
+    pub code: &'static str,
+    /// The message.
+    pub message: String,
+}
+
+impl Error {
+    /// An error with a SQLSTATE and a message.
+    pub fn new(code: &'static str, message: impl Into<String>) -> Self {
+        Self { code, message: message.into() }
+    }
+}
+
+/// What the engine returns.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// A result column.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Column {
+    /// Its name.
+    pub name: String,
+    /// Its type's object id.
+    pub kind: u32,
+}
+
+/// What a statement takes and gives, known before it runs.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Shape {
+    /// The type of each parameter.
+    pub parameters: Vec<u32>,
+    /// The result columns.
+    pub columns: Vec<Column>,
+    /// Whether it cannot change data.
+    pub read_only: bool,
+}
+
+/// What a statement gave.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct Rows {
+    /// The result columns.
+    pub columns: Vec<Column>,
+    /// The rows.
+    pub rows: Vec<Vec<Value>>,
+    /// Rows changed by a write.
+    pub changed: u64,
+}
+
+/// One database in memory.
+#[derive(Debug)]
+pub struct Engine {
+    write: Connection,
+    read: Connection,
+}
+
+impl Engine {
+    /// Opens an empty database.
+    ///
+    /// # Errors
+    /// What `SQLite` reports.
+    pub fn open() -> Result<Self> {
+        let name = NEXT.fetch_add(1, Ordering::Relaxed);
+        let uri = format!("file:/standin-{name}?vfs=memdb");
+        let flags = OpenFlags::SQLITE_OPEN_READ_WRITE
+            | OpenFlags::SQLITE_OPEN_CREATE
+            | OpenFlags::SQLITE_OPEN_URI
+            | OpenFlags::SQLITE_OPEN_NO_MUTEX;
+        let open = || Connection::open_with_flags(&uri, flags).map_err(|error| report(&error));
+        let (write, read) = (open()?, open()?);
+        write.set_prepared_statement_cache_capacity(CACHED);
+        read.set_prepared_statement_cache_capacity(CACHED);
+        read.execute_batch("PRAGMA query_only = on").map_err(|error| report(&error))?;
+        Ok(Self { write, read })
+    }
+
+    /// Opens a transaction on the writing connection.
+    ///
+    /// # Errors
+    /// What `SQLite` reports.
+    pub fn begin(&self) -> Result<()> {
+        self.write.execute_batch("BEGIN IMMEDIATE").map_err(|error| report(&error))
+    }
+
+    /// Commits the open transaction.
+    ///
+    /// # Errors
+    /// What `SQLite` reports; the transaction is rolled back then.
+    pub fn commit(&self) -> Result<()> {
+        self.write.execute_batch("COMMIT").map_err(|error| {
+            self.rollback();
+            report(&error)
+        })
+    }
+
+    /// Rolls the open transaction back, if any.
+    pub fn rollback(&self) {
+        if !self.write.is_autocommit() {
+            // A failing rollback leaves the transaction to SQLite, which has ended it already.
+            drop(self.write.execute_batch("ROLLBACK"));
+        }
+    }
+
+    /// Runs the statements of a log entry as one transaction.
+    ///
+    /// # Errors
+    /// What `SQLite` reports.
+    pub fn apply(&self, statements: &[Statement]) -> Result<()> {
+        self.begin()?;
+        for statement in statements {
+            self.run(&statement.sql, &statement.parameters, true)?;
+        }
+        self.commit()
+    }
+
+    /// Whether a statement cannot change data.
+    ///
+    /// # Errors
+    /// What `SQLite` reports.
+    pub fn is_read(&self, sql: &str) -> Result<bool> {
+        let statement = self.write.prepare_cached(sql).map_err(|error| report(&error))?;
+        Ok(statement.readonly())
+    }
+
+    /// Tells what a statement takes and gives; `declared` are the types that the caller stated.
+    ///
+    /// # Errors
+    /// What `SQLite` reports.
+    pub fn describe(&self, text: &Text, declared: &[u32]) -> Result<Shape> {
+        let statement = self.write.prepare_cached(&text.sql).map_err(|error| report(&error))?;
+        let read_only = statement.readonly();
+        let hints = sql::hints(&text.sql);
+        let kind = |number: usize| {
+            let stated = declared.get(number).copied().filter(|kind| *kind != 0);
+            let cast = text.casts.iter().find(|cast| cast.number == number + 1);
+            let cast = cast.and_then(|cast| value::declared(&cast.kind));
+            let hint = hints.iter().find(|hint| hint.number == number + 1);
+            let hint = hint.and_then(|hint| self.column_kind(&hint.column));
+            stated.or(cast).or(hint).unwrap_or(oid::TEXT)
+        };
+        let count = parameter_count(&statement).max(declared.len());
+        let parameters = (0..count).map(kind).collect();
+        let columns = self.columns(&statement);
+        drop(statement);
+        let mut shape = Shape { parameters, columns, read_only };
+        if read_only && shape.columns.iter().any(|column| column.kind == 0) {
+            let nulls = vec![Value::Null; count];
+            let probe = self.run(&text.sql, &nulls, false).unwrap_or_default();
+            refine(&mut shape.columns, probe.rows.first());
+        }
+        refine(&mut shape.columns, None);
+        Ok(shape)
+    }
+
+    /// Runs a statement, on the writing connection or on the reading one.
+    ///
+    /// # Errors
+    /// What `SQLite` reports.
+    pub fn run(&self, sql: &str, parameters: &[Value], write: bool) -> Result<Rows> {
+        let connection = if write { &self.write } else { &self.read };
+        let mut statement = connection.prepare_cached(sql).map_err(|error| report(&error))?;
+        for index in 1..=statement.parameter_count() {
+            let number = statement.parameter_name(index).and_then(sql::parameter).unwrap_or(index);
+            let value = parameters.get(number - 1).unwrap_or(&Value::Null);
+            statement.raw_bind_parameter(index, value).map_err(|error| report(&error))?;
+        }
+        let mut columns = self.columns(&statement);
+        let before = connection.total_changes();
+        let width = statement.column_count();
+        let mut rows = Vec::new();
+        let mut cursor = statement.raw_query();
+        while let Some(row) = cursor.next().map_err(|error| report(&error))? {
+            let value = |index| row.get_ref(index).map_or(Value::Null, Value::from);
+            rows.push((0..width).map(value).collect());
+        }
+        refine(&mut columns, rows.first());
+        refine(&mut columns, None);
+        let changed = connection.total_changes().saturating_sub(before);
+        Ok(Rows { columns, rows, changed })
+    }
+
+    fn columns(&self, statement: &rusqlite::Statement<'_>) -> Vec<Column> {
+        let column = |column: rusqlite::Column<'_>| {
+            let name = column.name().to_owned();
+            let kind = column.decl_type().and_then(value::declared);
+            let kind = kind.or_else(|| (!statement.readonly()).then(|| self.column_kind(&name))?);
+            Column { name, kind: kind.unwrap_or(0) }
+        };
+        statement.columns().map(column).collect()
+    }
+
+    fn column_kind(&self, name: &str) -> Option<u32> {
+        if name.eq_ignore_ascii_case("limit") || name.eq_ignore_ascii_case("offset") {
+            return Some(oid::INT8);
+        }
+        let find = "SELECT c.type FROM sqlite_schema s JOIN pragma_table_info(s.name) c \
+                    WHERE s.type = 'table' AND c.name = ?1 COLLATE NOCASE LIMIT 1";
+        let mut statement = self.write.prepare_cached(find).ok()?;
+        let kind: String = statement.query_row([name], |row| row.get(0)).ok()?;
+        value::declared(&kind)
+    }
+}
+
+fn parameter_count(statement: &rusqlite::Statement<'_>) -> usize {
+    let number = |index| statement.parameter_name(index).and_then(sql::parameter).unwrap_or(index);
+    (1..=statement.parameter_count()).map(number).max().unwrap_or(0)
+}
+
+/// Gives columns without a type the natural type of a row's value, or text without a row.
+fn refine(columns: &mut [Column], row: Option<&Vec<Value>>) {
+    for (index, column) in columns.iter_mut().enumerate().filter(|(_, column)| column.kind == 0) {
+        match row.and_then(|row| row.get(index)) {
+            Some(Value::Null) | None if row.is_some() => {}
+            Some(value) => column.kind = value.natural(),
+            None if is_number(&column.name) => column.kind = oid::INT8,
+            None => column.kind = oid::TEXT,
+        }
+    }
+}
+
+fn is_number(name: &str) -> bool {
+    let name = name.to_ascii_lowercase();
+    ["count(", "sum(", "max(", "min("].iter().any(|function| name.starts_with(function))
+}
+
+fn report(error: &rusqlite::Error) -> Error {
+    let message = error.to_string();
+    Error::new(sqlstate(error, &message), message)
+}
+
+fn sqlstate(error: &rusqlite::Error, message: &str) -> &'static str {
+    match error.sqlite_error() {
+        Some(inner) if inner.code == ErrorCode::ConstraintViolation => match inner.extended_code {
+            ffi::SQLITE_CONSTRAINT_UNIQUE | ffi::SQLITE_CONSTRAINT_PRIMARYKEY => "23505",
+            ffi::SQLITE_CONSTRAINT_NOTNULL => "23502",
+            ffi::SQLITE_CONSTRAINT_FOREIGNKEY => "23503",
+            ffi::SQLITE_CONSTRAINT_CHECK => "23514",
+            _ => "23000",
+        },
+        Some(inner) if inner.code == ErrorCode::ReadOnly => "25006",
+        Some(inner) if inner.code == ErrorCode::OperationInterrupted => "57014",
+        _ if message.contains("no such table") => "42P01",
+        _ if message.contains("no such column") => "42703",
+        _ if message.contains("no such function") => "42883",
+        _ if message.contains("already exists") => "42P07",
+        _ if message.contains("syntax error") || message.contains("incomplete input") => "42601",
+        _ => "XX000",
+    }
+}
--- /dev/null
+++ b/crates/gcl-standin/src/database/mod.rs
@@ -0,0 +1,214 @@
+//! A stand-in for a group of database servers: `SQLite` behind a `PostgreSQL` front.
+//!
+//! A [`Server`] is one server of a group. It runs in the caller's process; the `database` command
+//! runs one in a process of its own. Its log lives in its process: a crash on demand keeps it, the
+//! end of the process does not.
+
+pub mod clock;
+pub mod command;
+pub mod connection;
+pub mod control;
+pub mod dispatch;
+pub mod engine;
+pub mod fault;
+pub mod link;
+pub mod log;
+pub mod node;
+pub mod replication;
+pub mod session;
+pub mod settings;
+pub mod shared;
+pub mod sql;
+pub mod value;
+
+pub use shared::Lag;
+
+use fault::Fault;
+use gcl_core::server::Report;
+use log::Entry;
+use shared::Shared;
+use std::{
+    io,
+    net::{Ipv4Addr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    task::JoinHandle,
+};
+
+/// Pause after a failed accept or bind.
+const RETRY: Duration = Duration::from_millis(20);
+
+/// What a server is started with.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Options {
+    /// Its name.
+    pub name: String,
+    /// Where it listens; port zero takes a free one.
+    pub address: SocketAddr,
+    /// Most data connections.
+    pub connections: usize,
+    /// Most statements that run at once.
+    pub slots: usize,
+    /// Time to open a data connection.
+    pub open_delay: Duration,
+    /// Time that each statement takes on top of its work.
+    pub statement_delay: Duration,
+    /// How far it lags as a replica.
+    pub lag: Lag,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            name: "standin".to_owned(),
+            address: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            connections: 20,
+            slots: 3,
+            open_delay: Duration::ZERO,
+            statement_delay: Duration::ZERO,
+            lag: Lag::default(),
+        }
+    }
+}
+
+/// A running server; it stops when dropped.
+#[derive(Debug)]
+pub struct Server {
+    shared: Arc<Shared>,
+    address: SocketAddr,
+    tasks: Vec<JoinHandle<()>>,
+}
+
+impl Server {
+    /// Starts an empty server at term zero.
+    ///
+    /// # Errors
+    /// What `SQLite` or the socket reports.
+    pub async fn start(options: Options) -> io::Result<Self> {
+        let listener = TcpListener::bind(options.address).await?;
+        let address = listener.local_addr()?;
+        let shared = Shared::new(options).map_err(|error| io::Error::other(error.message))?;
+        let shared = Arc::new(shared);
+        let tasks = vec![
+            tokio::spawn(listen(Arc::clone(&shared), listener, address)),
+            tokio::spawn(replication::run(Arc::clone(&shared))),
+        ];
+        Ok(Self { shared, address, tasks })
+    }
+
+    /// Where it listens.
+    #[must_use]
+    pub const fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Its name.
+    #[must_use]
+    pub fn name(&self) -> &str {
+        &self.shared.options.name
+    }
+
+    /// Its account of itself.
+    #[must_use]
+    pub fn report(&self) -> Report {
+        self.shared.node().report()
+    }
+
+    /// A copy of its log.
+    #[must_use]
+    pub fn log(&self) -> Vec<Entry> {
+        self.shared.node().log().after(0, usize::MAX).to_vec()
+    }
+
+    /// The data connections open.
+    #[must_use]
+    pub fn connections(&self) -> usize {
+        self.shared.connections()
+    }
+
+    /// Waits until a condition on its report holds.
+    pub async fn reached(&self, condition: impl Fn(&Report) -> bool) -> Report {
+        let mut changes = self.shared.changes();
+        loop {
+            changes.mark_unchanged();
+            let report = self.report();
+            if condition(&report) {
+                return report;
+            }
+            // The sender lives in `self.shared`, so the wait cannot fail.
+            let _ = changes.changed().await;
+        }
+    }
+
+    /// Puts a fault in force.
+    pub fn inject(&self, fault: Fault) {
+        self.shared.inject(fault);
+    }
+
+    /// Ends all faults; a crashed server listens again.
+    pub fn heal(&self) {
+        self.shared.heal();
+    }
+
+    /// Sets how far it lags as a replica.
+    pub fn set_lag(&self, lag: Lag) {
+        self.shared.set_lag(lag);
+    }
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        for task in &self.tasks {
+            task.abort();
+        }
+        self.shared.life.send_modify(|life| *life += 1);
+    }
+}
+
+/// Accepts connections, with the port closed while the server is crashed.
+async fn listen(shared: Arc<Shared>, listener: TcpListener, address: SocketAddr) {
+    let mut listener = Some(listener);
+    let mut faults = shared.watch_faults();
+    loop {
+        if let Some(open) = &listener {
+            // The sender lives in `shared`, so no wait here can fail.
+            let crash = async { drop(faults.wait_for(|faults| faults.crashed).await) };
+            let accepted = tokio::select! {
+                () = crash => None,
+                accepted = open.accept() => Some(accepted),
+            };
+            match accepted {
+                Some(Ok((stream, _))) => admit(&shared, stream),
+                Some(Err(_)) => tokio::time::sleep(RETRY).await,
+                None => listener = None,
+            }
+        } else {
+            drop(faults.wait_for(|faults| !faults.crashed).await);
+            listener = TcpListener::bind(address).await.ok();
+            if listener.is_none() {
+                tokio::time::sleep(RETRY).await;
+            }
+        }
+    }
+}
+
+fn admit(shared: &Arc<Shared>, stream: TcpStream) {
+    if shared.faults().refusing {
+        return;
+    }
+    let shared = Arc::clone(shared);
+    let mut life = shared.life.subscribe();
+    tokio::spawn(async move {
+        tokio::select! {
+            _ = life.changed() => {}
+            ended = connection::serve(Arc::clone(&shared), stream) => {
+                if let Err(error) = ended {
+                    tracing::debug!(server = shared.options.name, %error, "a connection broke");
+                }
+            }
+        }
+    });
+}
--- /dev/null
+++ b/crates/gcl-standin/src/database/node.rs
@@ -0,0 +1,319 @@
+//! One server of a group: its term, role, log and data, changed under one lock.
+//!
+//! A term is raised by `fence` and `follow` and never falls. Whatever commits or replicates checks
+//! the term under the same lock, so nothing of a lower term gets in after a fence.
+
+use super::{
+    engine::{Engine, Error, Result, Rows, Shape},
+    log::{Entry, Log, Span, Statement},
+    sql::Text,
+    value::Value,
+};
+use gcl_core::{
+    id::{Position, Term},
+    mark::Mark,
+    server::{Report, Role},
+};
+use std::net::SocketAddr;
+
+/// SQLSTATE of a write where none is accepted.
+const READ_ONLY: &str = "25006";
+
+/// A session that may hold the writing connection.
+pub type Session = u64;
+
+/// The primary that a server follows.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Leader {
+    /// The term it is followed at.
+    pub term: Term,
+    /// Its name.
+    pub server: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+/// The answer to a request to write.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Turn {
+    /// The session holds the writing connection.
+    Granted,
+    /// Another session holds it.
+    Busy,
+}
+
+/// A server's state.
+#[derive(Debug)]
+pub struct Node {
+    term: Term,
+    role: Role,
+    leader: Option<Leader>,
+    log: Log,
+    applied: Position,
+    engine: Engine,
+    writer: Option<Session>,
+    written: Vec<Statement>,
+}
+
+impl Node {
+    /// An empty replica at term zero that follows nobody.
+    ///
+    /// # Errors
+    /// What `SQLite` reports.
+    pub fn new() -> Result<Self> {
+        Ok(Self {
+            term: 0,
+            role: Role::Replica,
+            leader: None,
+            log: Log::default(),
+            applied: 0,
+            engine: Engine::open()?,
+            writer: None,
+            written: Vec::new(),
+        })
+    }
+
+    /// The server's account of itself.
+    #[must_use]
+    pub fn report(&self) -> Report {
+        Report {
+            term: self.term,
+            role: self.role,
+            received: self.log.last(),
+            applied: self.applied(),
+        }
+    }
+
+    /// The mark that its reads see.
+    #[must_use]
+    pub fn applied(&self) -> Mark {
+        self.log.mark(self.applied)
+    }
+
+    /// Its log.
+    #[must_use]
+    pub const fn log(&self) -> &Log {
+        &self.log
+    }
+
+    /// The primary that it follows at its present term.
+    #[must_use]
+    pub fn leader(&self) -> Option<&Leader> {
+        self.leader.as_ref().filter(|leader| leader.term == self.term)
+    }
+
+    /// Raises the term; false unless it is strictly higher.
+    pub fn fence(&mut self, term: Term) -> bool {
+        let higher = term > self.term;
+        if higher {
+            self.enter(term);
+        }
+        higher
+    }
+
+    /// Makes the server primary at the term that it was fenced at.
+    ///
+    /// The empty entry that opens the term makes each mark that the primary reports one of its own
+    /// term.
+    pub fn promote(&mut self, term: Term) -> bool {
+        if term != self.term || term == 0 || self.leader().is_some() {
+            return false;
+        }
+        if self.role == Role::Primary {
+            return true;
+        }
+        while self.apply_next() {}
+        self.role = Role::Primary;
+        self.applied = self.log.append(term, Vec::new()).position;
+        true
+    }
+
+    /// Makes the server follow a primary; false at a lower term or when it is primary at that one.
+    pub fn follow(&mut self, leader: Leader) -> bool {
+        let term = leader.term;
+        if term < self.term || (term == self.term && self.role == Role::Primary) {
+            return false;
+        }
+        if term > self.term {
+            self.enter(term);
+        }
+        self.leader = Some(leader);
+        true
+    }
+
+    /// Forgets what a restart loses: an open transaction and the role of primary.
+    pub fn restart(&mut self) {
+        self.drop_writer();
+        self.role = Role::Replica;
+    }
+
+    fn enter(&mut self, term: Term) {
+        self.drop_writer();
+        self.term = term;
+        self.role = Role::Replica;
+        self.leader = None;
+    }
+
+    fn drop_writer(&mut self) {
+        self.engine.rollback();
+        self.writer = None;
+        self.written.clear();
+    }
+
+    /// Whether a session pinned to `pin` may write.
+    ///
+    /// # Errors
+    /// SQLSTATE 25006.
+    pub fn writable(&self, pin: Option<Term>) -> Result<()> {
+        if self.role != Role::Primary {
+            return Err(Error::new(READ_ONLY, "cannot write: this server is a replica"));
+        }
+        if pin.is_some_and(|pin| pin != self.term) {
+            let message = format!("cannot write: this server is primary at term {}", self.term);
+            return Err(Error::new(READ_ONLY, message));
+        }
+        Ok(())
+    }
+
+    /// Gives a session the writing connection with a transaction open.
+    ///
+    /// # Errors
+    /// SQLSTATE 25006, or what `SQLite` reports.
+    pub fn begin(&mut self, session: Session, pin: Option<Term>) -> Result<Turn> {
+        self.writable(pin)?;
+        match self.writer {
+            Some(writer) if writer == session => Ok(Turn::Granted),
+            Some(_) => Ok(Turn::Busy),
+            None => {
+                self.engine.begin()?;
+                self.writer = Some(session);
+                Ok(Turn::Granted)
+            }
+        }
+    }
+
+    /// Whether a session holds the writing connection.
+    #[must_use]
+    pub fn writes(&self, session: Session) -> bool {
+        self.writer == Some(session)
+    }
+
+    /// Runs a statement of a session that holds the writing connection.
+    ///
+    /// # Errors
+    /// SQLSTATE 25006 if it no longer does, or what `SQLite` reports.
+    pub fn write(&mut self, session: Session, sql: &str, parameters: &[Value]) -> Result<Rows> {
+        if !self.writes(session) {
+            return Err(Error::new(READ_ONLY, "the transaction was ended by a change of term"));
+        }
+        let rows = self.engine.run(sql, parameters, true)?;
+        self.written.push(Statement { sql: sql.to_owned(), parameters: parameters.to_vec() });
+        Ok(rows)
+    }
+
+    /// Runs a statement that only reads; sees the session's own uncommitted writes.
+    ///
+    /// # Errors
+    /// What `SQLite` reports.
+    pub fn read(&self, session: Session, sql: &str, parameters: &[Value]) -> Result<Rows> {
+        self.engine.run(sql, parameters, self.writes(session))
+    }
+
+    /// Whether a statement cannot change data.
+    ///
+    /// # Errors
+    /// What `SQLite` reports.
+    pub fn is_read(&self, sql: &str) -> Result<bool> {
+        self.engine.is_read(sql)
+    }
+
+    /// Tells what a statement takes and gives.
+    ///
+    /// # Errors
+    /// What `SQLite` reports.
+    pub fn describe(&self, text: &Text, declared: &[u32]) -> Result<Shape> {
+        self.engine.describe(text, declared)
+    }
+
+    /// Commits what a session wrote.
+    ///
+    /// # Errors
+    /// SQLSTATE 25006 if the term changed since it began, or what `SQLite` reports.
+    pub fn commit(&mut self, session: Session, pin: Option<Term>) -> Result<Mark> {
+        if !self.writes(session) {
+            return Err(Error::new(READ_ONLY, "the transaction was ended by a change of term"));
+        }
+        if let Err(error) = self.writable(pin) {
+            self.drop_writer();
+            return Err(error);
+        }
+        self.writer = None;
+        let written = std::mem::take(&mut self.written);
+        self.engine.commit()?;
+        let mark = self.log.append(self.term, written);
+        self.applied = mark.position;
+        Ok(mark)
+    }
+
+    /// Rolls back what a session wrote, if it holds the writing connection.
+    pub fn rollback(&mut self, session: Session) {
+        if self.writes(session) {
+            self.drop_writer();
+        }
+    }
+
+    /// Whether this server is primary at exactly `term`, so that it may be replicated from.
+    #[must_use]
+    pub fn leads(&self, term: Term) -> bool {
+        self.role == Role::Primary && self.term == term
+    }
+
+    /// Takes an entry of the primary followed at `term`; false if the server moved on or the entry
+    /// does not come next.
+    pub fn accept(&mut self, term: Term, entry: Entry) -> bool {
+        self.follows(term) && self.log.accept(entry)
+    }
+
+    /// Whether the server follows a primary at exactly `term`.
+    #[must_use]
+    pub fn follows(&self, term: Term) -> bool {
+        self.leader().is_some_and(|leader| leader.term == term)
+    }
+
+    /// Applies the next entry received; false when there is none.
+    pub fn apply_next(&mut self) -> bool {
+        let Some(entry) = self.log.get(self.applied + 1) else {
+            return false;
+        };
+        if let Err(error) = self.engine.apply(&entry.statements) {
+            self.engine.rollback();
+            tracing::error!(position = entry.mark.position, ?error, "a log entry did not apply");
+        }
+        self.applied += 1;
+        true
+    }
+
+    /// Applies the entries received up to a position.
+    pub fn apply_to(&mut self, position: Position) {
+        while self.applied < position && self.apply_next() {}
+    }
+
+    /// Drops the tail that the log of the primary followed at `term` does not hold, and rebuilds
+    /// the data if it had been applied.
+    ///
+    /// # Errors
+    /// What `SQLite` reports.
+    pub fn rewind(&mut self, term: Term, theirs: &[Span]) -> Result<()> {
+        if !self.follows(term) {
+            return Ok(());
+        }
+        let common = self.log.common(theirs);
+        self.log.truncate(common);
+        if self.applied > common {
+            self.engine = Engine::open()?;
+            self.applied = 0;
+            while self.apply_next() {}
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/gcl-standin/src/database/settings.rs
@@ -0,0 +1,74 @@
+//! The settings file of the `database` command.
+
+use super::{Lag, Options};
+use eyre::WrapErr;
+use serde::Deserialize;
+use std::{net::SocketAddr, time::Duration};
+
+/// What reading settings returns.
+pub type Result<T> = eyre::Result<T>;
+
+/// The settings of one server, as JSON with comments.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Settings {
+    /// The server's name.
+    pub name: String,
+    /// Where it listens, `ip:port`.
+    pub address: SocketAddr,
+    /// Most data connections.
+    #[serde(default = "connections")]
+    pub connections: usize,
+    /// Most statements that run at once.
+    #[serde(default = "slots")]
+    pub slots: usize,
+    /// Time to open a data connection, in milliseconds.
+    #[serde(default)]
+    pub open_delay_ms: u64,
+    /// Time that each statement takes on top of its work, in milliseconds.
+    #[serde(default)]
+    pub statement_delay_ms: u64,
+    /// Lag between the primary's commit and holding it, in milliseconds.
+    #[serde(default)]
+    pub receive_lag_ms: u64,
+    /// Lag between holding an entry and showing it to reads, in milliseconds.
+    #[serde(default)]
+    pub apply_lag_ms: u64,
+}
+
+fn connections() -> usize {
+    Options::default().connections
+}
+
+fn slots() -> usize {
+    Options::default().slots
+}
+
+impl Settings {
+    /// Parses the text of a settings file.
+    ///
+    /// # Errors
+    /// Where the text is not what it should be.
+    pub fn parse(text: &str) -> Result<Self> {
+        let options = jsonc_parser::ParseOptions::default();
+        let settings = jsonc_parser::parse_to_serde_value::<Self>(text, &options);
+        settings.wrap_err("the settings are not valid")
+    }
+
+    /// The options that they stand for.
+    #[must_use]
+    pub fn options(self) -> Options {
+        Options {
+            name: self.name,
+            address: self.address,
+            connections: self.connections,
+            slots: self.slots,
+            open_delay: Duration::from_millis(self.open_delay_ms),
+            statement_delay: Duration::from_millis(self.statement_delay_ms),
+            lag: Lag {
+                receive: Duration::from_millis(self.receive_lag_ms),
+                apply: Duration::from_millis(self.apply_lag_ms),
+            },
+        }
+    }
+}
--- a/crates/gcl-standin/src/lib.rs
+++ b/crates/gcl-standin/src/lib.rs
@@ -1,1 +1,3 @@
-//! Placeholder.
+//! Stand-ins for the platform and the databases, the demo and the benchmarks; ships nowhere.
+
+pub mod database;
--- /dev/null
+++ b/crates/gcl-standin/tests/standin/database.rs
@@ -0,0 +1,139 @@
+//! The database stand-in, met by an ordinary driver.
+
+use gcl_core::{mark::Mark, server::Role};
+use gcl_standin::database::{Lag, Options, Server, fault::Fault};
+use std::time::Duration;
+use tokio_postgres::{Client, Config, NoTls, SimpleQueryMessage, error::SqlState};
+
+const CONTROL: &str = "-c goldcrest.control=on";
+
+async fn connect(server: &Server, options: &str) -> Client {
+    try_connect(server, options).await.expect("the server accepts connections")
+}
+
+async fn try_connect(
+    server: &Server,
+    options: &str,
+) -> std::result::Result<Client, tokio_postgres::Error> {
+    let address = server.address();
+    let mut config = Config::new();
+    config.host(address.ip().to_string()).port(address.port()).user("caller").options(options);
+    let (client, connection) = config.connect(NoTls).await?;
+    tokio::spawn(connection);
+    Ok(client)
+}
+
+/// The columns of the first row of a question on a control connection.
+async fn ask(server: &Server, call: &str) -> Vec<String> {
+    let client = connect(server, CONTROL).await;
+    let messages = client.simple_query(&format!("SELECT * FROM {call}")).await;
+    first_row(&messages.expect("the question is answered"))
+}
+
+fn first_row(messages: &[SimpleQueryMessage]) -> Vec<String> {
+    let row = messages.iter().find_map(|message| match message {
+        SimpleQueryMessage::Row(row) => Some(row),
+        _ => None,
+    });
+    let row = row.expect("a row is returned");
+    (0..row.len()).map(|index| row.get(index).unwrap_or("null").to_owned()).collect()
+}
+
+/// Starts servers, fences and promotes the first, and has the others follow it.
+async fn group(count: usize) -> Vec<Server> {
+    let mut servers = Vec::new();
+    for index in 0..count {
+        let options = Options { name: format!("s{index}"), ..Options::default() };
+        servers.push(Server::start(options).await.expect("a port is free"));
+    }
+    for server in &servers {
+        assert_eq!(ask(server, "goldcrest_fence(1)").await[0], "t");
+    }
+    assert_eq!(ask(&servers[0], "goldcrest_promote(1)").await[2], "primary");
+    for server in &servers[1..] {
+        follow(server, 1, &servers[0]).await;
+    }
+    servers
+}
+
+async fn follow(server: &Server, term: u64, primary: &Server) {
+    let call = format!("goldcrest_follow({term}, 'p', '{}')", primary.address());
+    assert_eq!(ask(server, &call).await[0], "t");
+}
+
+async fn count(client: &Client) -> i64 {
+    client.query_one("SELECT count(*) FROM booking", &[]).await.expect("the table is there").get(0)
+}
+
+#[tokio::test]
+async fn replicates_to_followers() {
+    let servers = group(3).await;
+    let client = connect(&servers[0], "").await;
+    client.batch_execute("CREATE TABLE booking (id int8 PRIMARY KEY, who text)").await.expect("ok");
+    let insert = "INSERT INTO booking (id, who) VALUES ($1, $2)";
+    let changed = client.execute(insert, &[&7_i64, &"asha"]).await.expect("the primary writes");
+    assert_eq!(changed, 1);
+    let mark = servers[0].report().applied;
+    assert_eq!(mark, Mark::new(1, 3));
+    for server in &servers[1..] {
+        server.reached(|report| report.applied == mark).await;
+        let replica = connect(server, "").await;
+        let row = replica.query_one("SELECT id, who FROM booking WHERE id = $1", &[&7_i64]).await;
+        let row = row.expect("the row arrived");
+        assert_eq!((row.get::<_, i64>(0), row.get::<_, &str>(1)), (7, "asha"));
+        let error = replica.execute(insert, &[&8_i64, &"x"]).await.expect_err("a replica");
+        assert_eq!(error.code(), Some(&SqlState::READ_ONLY_SQL_TRANSACTION));
+    }
+}
+
+#[tokio::test]
+async fn fence_stops_a_transaction_in_flight() {
+    let servers = group(1).await;
+    let client = connect(&servers[0], "").await;
+    client.batch_execute("CREATE TABLE booking (id int8 PRIMARY KEY)").await.expect("ok");
+    client.batch_execute("BEGIN; INSERT INTO booking VALUES (1)").await.expect("ok");
+    assert_eq!(ask(&servers[0], "goldcrest_fence(2)").await[0], "t");
+    let error = client.batch_execute("COMMIT").await.expect_err("the term is over");
+    assert_eq!(error.code(), Some(&SqlState::READ_ONLY_SQL_TRANSACTION));
+    assert_eq!(count(&client).await, 0);
+    assert_eq!(ask(&servers[0], "goldcrest_fence(2)").await[0], "f");
+}
+
+#[tokio::test]
+async fn an_old_primary_rewinds_its_tail() {
+    let servers = group(3).await;
+    let client = connect(&servers[0], "").await;
+    client.batch_execute("CREATE TABLE booking (id int8 PRIMARY KEY)").await.expect("ok");
+    for server in &servers[1..] {
+        server.reached(|report| report.applied == Mark::new(1, 2)).await;
+    }
+    servers[0].inject(Fault::IsolateReplication);
+    client.batch_execute("INSERT INTO booking VALUES (1)").await.expect("still primary");
+    for server in &servers[1..] {
+        ask(server, "goldcrest_fence(2)").await;
+    }
+    ask(&servers[1], "goldcrest_promote(2)").await;
+    follow(&servers[2], 2, &servers[1]).await;
+    let other = connect(&servers[1], "").await;
+    other.batch_execute("INSERT INTO booking VALUES (2)").await.expect("the new primary");
+    servers[0].heal();
+    follow(&servers[0], 2, &servers[1]).await;
+    servers[0].reached(|report| report.applied == Mark::new(2, 4)).await;
+    let ids = client.query("SELECT id FROM booking", &[]).await.expect("a replica reads");
+    assert_eq!(ids.iter().map(|row| row.get::<_, i64>(0)).collect::<Vec<_>>(), [2]);
+    assert_eq!(servers[0].log(), servers[2].log());
+    assert_eq!(servers[0].report().role, Role::Replica);
+}
+
+#[tokio::test]
+async fn await_returns_when_the_mark_is_held() {
+    let servers = group(2).await;
+    servers[1].reached(|report| report.applied == Mark::new(1, 1)).await;
+    let lag = Lag { receive: Duration::from_millis(20), apply: Duration::from_secs(60) };
+    servers[1].set_lag(lag);
+    let client = connect(&servers[0], "").await;
+    client.batch_execute("CREATE TABLE booking (id int8 PRIMARY KEY)").await.expect("ok");
+    let report = ask(&servers[1], "goldcrest_await(1, 2, 30000)").await;
+    assert_eq!(report[3..5], ["1", "2"], "received");
+    assert_eq!(report[5..7], ["1", "1"], "applied");
+}
--- /dev/null
+++ b/crates/gcl-standin/tests/standin/main.rs
@@ -0,0 +1,3 @@
+//! Tests of the stand-ins.
+
+mod database;
