--- a/crates/gcl-standin/src/main.rs
+++ b/crates/gcl-standin/src/main.rs
@@ -1,18 +1,33 @@
-//! Runs one of the stand-ins as a process: the first word names it.
+//! The `goldcrest-standin` program: its first word names the stand-in to run.
 
 use eyre::{Result, bail};
-use gcl_standin::platform;
-use std::env;
+use gcl_standin::{database, platform};
+use std::{env, process::ExitCode};
+use tokio::runtime::Runtime;
 
-/// What can be run.
-const USAGE: &str = "goldcrest-standin platform [options]";
+const USAGE: &str = "Usage: goldcrest-standin database --settings FILE
+       goldcrest-standin platform [options]";
 
-fn main() -> Result<()> {
-    let mut words = env::args().skip(1);
-    let command = words.next().unwrap_or_default();
-    let rest: Vec<String> = words.collect();
-    match command.as_str() {
-        "platform" => platform::command::run(&rest),
-        _ => bail!("usage: {USAGE}"),
+fn main() -> ExitCode {
+    let arguments: Vec<String> = env::args().skip(1).collect();
+    match run(&arguments) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("{error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run(arguments: &[String]) -> Result<()> {
+    let Some((name, rest)) = arguments.split_first() else { bail!("{USAGE}") };
+    match name.as_str() {
+        "database" => Runtime::new()?.block_on(database::command::run(rest)),
+        "platform" => platform::command::run(rest),
+        "--help" | "-h" => {
+            println!("{USAGE}");
+            Ok(())
+        }
+        _ => bail!("{USAGE}"),
     }
 }
