feat(record): chain and anchor the record, and read it back as an auditor

Cause: the record had no protection and nobody could question it. Lines are chained after the bounded queue, so a dropped line is a stated gap and never looks like a removed one. Weighed for anchors: every head in the store (grows with daemons and time) against one hash a failure domain over a list kept in the record itself (chosen: one write a domain and minute, fixed size). Property tests remove, alter and exchange lines; a rewritten chain and a cut tail are found by their anchor. Not yet on the command line.

--- /dev/null
+++ b/crates/gcl-audit/tests/audit/fixture.rs
@@ -0,0 +1,50 @@
+//! Records for the tests.
+
+use gcl_audit::read;
+use gcl_core::record::{
+    Kind, Line,
+    chain::{Head, Sealed},
+};
+
+/// A record of a daemon as lines of its log.
+#[derive(Debug)]
+pub struct Record {
+    pub head: Head,
+    pub lines: Vec<String>,
+}
+
+impl Record {
+    pub fn new(daemon: &str) -> Self {
+        Self { head: Head::new(daemon.into(), 7), lines: Vec::new() }
+    }
+
+    pub fn line(&mut self, wall_ms: u64, line: &Line) {
+        let text = serde_json::to_string(line).expect("a line is JSON");
+        let sealed = self.head.seal(wall_ms, text);
+        self.lines.push(log(&sealed));
+    }
+
+    /// A record of `count` outcomes.
+    pub fn of(daemon: &str, count: u64) -> Self {
+        let mut record = Self::new(daemon);
+        for number in 0..count {
+            let reason = compact_str::format_compact!("outcome {number}");
+            record.line(1_000 + number, &Line { reason, ..Line::new(Kind::Outcome) });
+        }
+        record
+    }
+}
+
+/// A sealed line as the daemon's log shows it.
+pub fn log(sealed: &Sealed) -> String {
+    let mut value = serde_json::to_value(sealed).expect("a sealed line is JSON");
+    value["target"] = "record".into();
+    value["level"] = "INFO".into();
+    value.to_string()
+}
+
+/// Reads lines as one file.
+pub fn read_all(lines: &[String], each: impl FnMut(&read::Place, read::Entry)) {
+    let text = lines.join("\n");
+    read::read("log", text.as_bytes(), each).expect("memory can be read");
+}
--- a/crates/gcl-core/src/effect.rs
+++ b/crates/gcl-core/src/effect.rs
@@ -29,6 +29,8 @@
     Timer(timer::Effect),
     /// Writes a line of the record.
     Record(record::Line),
+    /// Asks for the head of the record's chain, as [`crate::event::Event::Head`].
+    ReadHead,
     /// Reports a measurement.
     Metric(Metric),
     /// Reports readiness to the platform's balancer.
--- a/crates/gcl-core/src/event.rs
+++ b/crates/gcl-core/src/event.rs
@@ -1,6 +1,6 @@
 //! Everything that can happen to a daemon, as one type.
 
-use crate::{caller, id, operator, peer, server, store, timer};
+use crate::{caller, id, operator, peer, record, server, store, timer};
 use serde::{Deserialize, Serialize};
 
 /// Something that happened, fed to the reducer with the time.
@@ -18,6 +18,8 @@
     Server(id::Server, server::Event),
     /// An operator asks.
     Operator(id::Operation, operator::Request),
+    /// The head of the record's chain.
+    Head(record::chain::Head),
     /// A timer fired.
     Timer(timer::Key),
     /// The process was told to stop.
--- a/crates/gcl-core/src/peer.rs
+++ b/crates/gcl-core/src/peer.rs
@@ -3,7 +3,7 @@
 //! Delivery is at most once and in order per direction while a stream lives; any message may be
 //! lost, delayed or repeated, and each part is written for that.
 
-use crate::{config, group, home, id, limit, member, request, run};
+use crate::{config, group, home, id, limit, member, record, request, run};
 use serde::{Deserialize, Serialize};
 
 /// A message to another daemon.
@@ -25,6 +25,8 @@
     Config(config::Message),
     /// Borrowing of rate tokens.
     Limit(limit::Message),
+    /// Anchors of the record.
+    Anchor(record::anchor::Message),
 }
 
 /// What came from the peer port.
--- a/crates/gcl-core/src/record.rs
+++ b/crates/gcl-core/src/record/mod.rs
@@ -1,5 +1,8 @@
 //! The record: one structured line for each decision and refusal.
 
+pub mod anchor;
+pub mod chain;
+
 use crate::{code::Code, id};
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
@@ -30,6 +33,8 @@
     Operation,
     /// Lines were dropped here.
     Gap,
+    /// The heads of a failure domain's chains were tied together.
+    Anchor,
 }
 
 /// One line; empty fields are left out.
--- a/crates/gcl-core/src/reduce.rs
+++ b/crates/gcl-core/src/reduce.rs
@@ -7,7 +7,9 @@
     config,
     effect::{Effect, Effects},
     event::Event,
-    group, home, limit, member, operation, peer, request, server, session,
+    group, home, limit, member, operation, peer,
+    record::anchor,
+    request, server, session,
     state::State,
     store,
     time::Now,
@@ -56,6 +58,7 @@
         Event::Operator(operation, request) => {
             operation::on_request(state, now, fx, operation, &request);
         }
+        Event::Head(head) => anchor::on_head(state, fx, head),
         Event::Timer(key) => on_timer(state, now, fx, &key),
         Event::Stop => on_stop(state, now, fx),
     }
@@ -65,6 +68,7 @@
     member::start(state, now, fx);
     config::start(state, now, fx);
     limit::start(state, now, fx);
+    anchor::start(state, now, fx);
     fx.arm(timer::Key::Tick, now.mono + TICK);
 }
 
@@ -97,6 +101,7 @@
         peer::Message::Group(message) => group::on_message(state, now, fx, from, message),
         peer::Message::Member(message) => member::on_message(state, now, fx, from, message),
         peer::Message::Config(message) => config::on_message(state, now, fx, from, message),
+        peer::Message::Anchor(message) => anchor::on_message(state, message),
         peer::Message::Limit(message) => limit::on_message(state, now, fx, from, message),
     }
 }
@@ -106,6 +111,7 @@
     let _ = config::on_store(state, now, fx, event)
         || limit::on_store(state, now, fx, event)
         || member::on_store(state, now, fx, event)
+        || anchor::on_store(state, fx, event)
         || operation::on_store(state, now, fx, event);
     if state.config.snapshot.revision != revision {
         on_config(state, now, fx);
@@ -136,7 +142,7 @@
         timer::Key::Probe => member::on_timer(state, now, fx),
         timer::Key::Config => config::on_timer(state, now, fx),
         timer::Key::Seat => limit::on_timer(state, now, fx),
-        timer::Key::Anchor => {}
+        timer::Key::Anchor => anchor::on_timer(state, now, fx),
         timer::Key::Operation(operation) => operation::on_timer(state, now, fx, *operation),
     }
 }
--- a/crates/gcl-core/src/state.rs
+++ b/crates/gcl-core/src/state.rs
@@ -1,7 +1,7 @@
 //! Everything that one daemon knows.
 
 use crate::{
-    config, group, home, id, limit, member, operation, random::Random, request, session,
+    config, group, home, id, limit, member, operation, random::Random, record, request, session,
     settings::Settings,
 };
 
@@ -66,6 +66,8 @@
     pub home: home::State,
     /// Database groups.
     pub group: group::State,
+    /// Anchors of the record.
+    pub anchor: record::anchor::State,
     /// Operators' requests.
     pub operation: operation::State,
 }
@@ -89,6 +91,7 @@
             limit: limit::State,
             home: home::State::default(),
             group: group::State::default(),
+            anchor: record::anchor::State::default(),
             operation: operation::State,
         }
     }
