--- /dev/null
+++ b/crates/gcl-core/src/home/end.rs
@@ -0,0 +1,433 @@
+//! The end of a statement: what becomes of its connection, and when its answer may leave.
+
+use super::{
+    Proof, Stage, Task,
+    pool::{Use, Work},
+    task::{cancel_running, finish, pump},
+    transaction::{self, Transaction},
+};
+use crate::{
+    batch::Status,
+    code::{Code, Fault, Result},
+    effect::Effects,
+    group, id,
+    mark::Mark,
+    run::{Access, Outcome, Scope},
+    server::{Call, Ended},
+    state::State as Daemon,
+    time::Now,
+};
+use std::time::Duration;
+
+/// SQLSTATE of a write where none is allowed.
+const READ_ONLY: &str = "25006";
+/// How long past its deadline a cancelled statement may still end by itself.
+const CANCEL_GRACE: Duration = Duration::from_secs(2);
+/// How long a connection may take to open or to be reset.
+const UNUSED_TIMEOUT: Duration = Duration::from_secs(5);
+
+/// Takes the end of a statement; an end that belongs to nothing that runs is a late answer, and its
+/// connection is not used again.
+pub fn on_ended(
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    server: &id::Server,
+    (connection, request): (id::Connection, id::Request),
+    ended: Ended,
+) {
+    let Some(work) = take_work(daemon, now, server, connection, request) else {
+        return on_stray(daemon, now, fx, server, connection, &ended);
+    };
+    match ended {
+        Ended::Answered { frames, status, mark, error } => {
+            let kept = keep_connection(daemon, now, fx, server, connection, &work, status);
+            let refused = error.as_deref() == Some(READ_ONLY) && mark.is_none() && !kept;
+            if refused && reroutes(daemon, request) {
+                let fault = Fault::new(Code::ReadOnly, "the statement writes");
+                return finish(daemon, now, fx, request, Outcome::NotRun(fault));
+            }
+            let outcome = Outcome::Done { frames, status, mark };
+            conclude(daemon, now, fx, request, outcome, mark, error.is_some());
+        }
+        Ended::TooLarge { status, mark } => {
+            let work = Work { abandoned: true, ..work };
+            keep_connection(daemon, now, fx, server, connection, &work, status);
+            let fault = Fault::new(Code::AnswerTooLarge, "the statement ran");
+            conclude(daemon, now, fx, request, Outcome::Unknown(fault), mark, false);
+        }
+        Ended::Lost { sent } => {
+            if let Some(pool) = daemon.home.pools.get_mut(server) {
+                pool.forget(connection);
+            }
+            end_use(daemon, now, fx, Use::Running(work), sent);
+        }
+    }
+}
+
+fn take_work(
+    daemon: &mut Daemon,
+    now: Now,
+    server: &id::Server,
+    connection: id::Connection,
+    request: id::Request,
+) -> Option<Work> {
+    let pool = daemon.home.pools.get_mut(server)?;
+    let work = match &pool.connections.get(&connection)?.usage {
+        Use::Running(work) if work.request == request => work.clone(),
+        _ => return None,
+    };
+    let took = now.since(work.since);
+    let weight = super::weight(daemon, &work.workspace);
+    let pool = daemon.home.pools.get_mut(server)?;
+    pool.served(took);
+    pool.queue.settle(&work.workspace, weight, work.charged, took);
+    Some(work)
+}
+
+fn on_stray(
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    server: &id::Server,
+    connection: id::Connection,
+    ended: &Ended,
+) {
+    let Some(pool) = daemon.home.pools.get_mut(server) else {
+        return;
+    };
+    if matches!(ended, Ended::Lost { .. }) {
+        return on_closed(daemon, now, fx, server, connection);
+    }
+    let known = pool.connections.get(&connection).map(|known| &known.usage);
+    if !matches!(known, None | Some(Use::Closing(_))) {
+        give_up(daemon, now, fx, server, connection);
+    }
+}
+
+/// Closes a connection whose state is in doubt, and ends what used it.
+fn give_up(
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    server: &id::Server,
+    connection: id::Connection,
+) {
+    let pool = daemon.home.pools.get(server);
+    let known = pool.and_then(|pool| pool.connections.get(&connection));
+    let Some(usage) = known.map(|known| known.usage.clone()) else {
+        return;
+    };
+    discard(daemon, now, fx, server, connection);
+    end_use(daemon, now, fx, usage, true);
+}
+
+fn discard(
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    server: &id::Server,
+    connection: id::Connection,
+) {
+    if let Some(pool) = daemon.home.pools.get_mut(server) {
+        let call = pool.close(now, connection);
+        fx.server(server, call);
+    }
+}
+
+/// Gives the connection to its transaction, back to the pool, or up; tells whether a transaction
+/// holds it.
+fn keep_connection(
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    server: &id::Server,
+    connection: id::Connection,
+    work: &Work,
+    status: Status,
+) -> bool {
+    let ongoing = daemon.home.tasks.contains_key(&work.request) && !work.abandoned;
+    if status != Status::Idle && ongoing {
+        hold_connection(daemon, now, fx, server, connection, work);
+        return true;
+    }
+    if let Some(name) = work.transaction {
+        transaction::forget(daemon, fx, name);
+    }
+    if status == Status::Idle {
+        let pool = daemon.home.pools.get_mut(server);
+        if let Some(call) = pool.and_then(|pool| pool.put_back(now, connection)) {
+            fx.server(server, call);
+        }
+    } else {
+        discard(daemon, now, fx, server, connection);
+    }
+    work.transaction.is_some()
+}
+
+fn hold_connection(
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    server: &id::Server,
+    connection: id::Connection,
+    work: &Work,
+) {
+    let name = work.transaction.unwrap_or(work.request);
+    if work.transaction.is_none()
+        && let Some(task) = daemon.home.tasks.get(&work.request)
+    {
+        let transaction = Transaction {
+            server: server.clone(),
+            connection,
+            owner: task.from.clone(),
+            workspace: work.workspace.clone(),
+            access: task.run.access,
+            term: task.term.filter(|_| task.run.access == Access::Write),
+            busy: None,
+        };
+        transaction::open(daemon, name, transaction);
+    }
+    if let Some(pool) = daemon.home.pools.get_mut(server) {
+        pool.set(connection, Use::Held(name));
+    }
+    transaction::rest(daemon, now, fx, name);
+}
+
+/// Whether a read-only violation sends the request elsewhere: only when it stood alone.
+fn reroutes(daemon: &Daemon, request: id::Request) -> bool {
+    daemon.home.tasks.get(&request).is_some_and(|task| task.run.scope == Scope::Single)
+}
+
+/// Answers at once what shows nothing that needs proof, and waits for the rest.
+fn conclude(
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    request: id::Request,
+    outcome: Outcome,
+    mark: Option<Mark>,
+    failed: bool,
+) {
+    let Some(task) = daemon.home.tasks.get_mut(&request) else {
+        return;
+    };
+    task.stage = Stage::Ended;
+    let (access, database) = (task.run.access, task.run.database.clone());
+    let aged = matches!(access, Access::Replica { .. });
+    let ends = task.run.ends && task.transaction().is_some();
+    if aged || (mark.is_none() && (failed || ends)) {
+        return finish(daemon, now, fx, request, outcome);
+    }
+    task.done = Some(outcome);
+    if let Some(mark) = mark {
+        if access == Access::Write {
+            task.proof = Proof::Given;
+        }
+        daemon.home.holding.insert(request);
+        return group::hold(daemon, now, fx, &database, mark, request);
+    }
+    task.held = true;
+    if task.proof == Proof::Unasked {
+        task.proof = Proof::Asked;
+        return group::prove(daemon, now, fx, &database, request);
+    }
+    answer_if_proven(daemon, now, fx, request);
+}
+
+fn answer_if_proven(daemon: &mut Daemon, now: Now, fx: &mut Effects, request: id::Request) {
+    let Some(task) = daemon.home.tasks.get_mut(&request) else {
+        return;
+    };
+    if task.held
+        && task.proof == Proof::Given
+        && let Some(outcome) = task.done.take()
+    {
+        finish(daemon, now, fx, request, outcome);
+    }
+}
+
+/// Takes the proof that the primary was not superseded.
+pub fn on_proof(
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    request: id::Request,
+    proof: Result<()>,
+) {
+    let Some(task) = daemon.home.tasks.get(&request).filter(|task| task.proof == Proof::Asked)
+    else {
+        return;
+    };
+    let proof = proof.and_then(|()| still_leads(daemon, task));
+    match proof {
+        Ok(()) => {
+            if let Some(task) = daemon.home.tasks.get_mut(&request) {
+                task.proof = Proof::Given;
+            }
+            answer_if_proven(daemon, now, fx, request);
+        }
+        Err(fault) => on_unproven(daemon, now, fx, request, &fault),
+    }
+}
+
+/// The proof is about the newest primary, so it must still be the one that the task runs on.
+fn still_leads(daemon: &Daemon, task: &Task) -> Result<()> {
+    let leader = group::leader(daemon, &task.run.database);
+    let same = leader.is_some_and(|leader| {
+        leader.server == task.run.server && task.term.is_none_or(|term| term == leader.term)
+    });
+    same.then_some(()).ok_or_else(|| Fault::new(Code::NoPrimary, "the primary was superseded"))
+}
+
+/// Takes the word that a majority holds what a request committed or saw.
+pub fn on_held(
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    request: id::Request,
+    held: Result<()>,
+) {
+    let Some(task) = daemon.home.tasks.get_mut(&request).filter(|task| task.done.is_some()) else {
+        return;
+    };
+    match held {
+        Ok(()) => {
+            task.held = true;
+            answer_if_proven(daemon, now, fx, request);
+        }
+        Err(fault) if task.run.access == Access::Write => {
+            let fault = Fault::new(Code::MajorityUnknown, fault.detail);
+            finish(daemon, now, fx, request, Outcome::Unknown(fault));
+        }
+        Err(fault) => on_unproven(daemon, now, fx, request, &fault),
+    }
+}
+
+/// Ends a request whose answer cannot be shown to be fresh.
+fn on_unproven(
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    request: id::Request,
+    fault: &Fault,
+) {
+    let Some(task) = daemon.home.tasks.get(&request) else {
+        return;
+    };
+    let name = task.transaction().unwrap_or(request);
+    let (access, scope) = (task.run.access, task.run.scope);
+    let server = task.run.server.clone();
+    cancel_running(daemon, fx, request);
+    let outcome = if scope != Scope::Single || daemon.home.transactions.contains_key(&name) {
+        transaction::abandon(daemon, now, fx, name);
+        let detail = "the primary could not be proven; nothing was committed";
+        Outcome::NotRun(Fault::new(Code::TransactionLost, detail))
+    } else if access == Access::Write {
+        Outcome::Unknown(Fault::new(Code::MajorityUnknown, fault.detail.clone()))
+    } else {
+        let code = if fault.code.not_run() { fault.code } else { Code::NoPrimary };
+        Outcome::NotRun(Fault { code, ..fault.clone() })
+    };
+    finish(daemon, now, fx, request, outcome);
+    pump(daemon, now, fx, &server);
+}
+
+/// Takes the loss of a connection outside a statement.
+pub fn on_closed(
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    server: &id::Server,
+    connection: id::Connection,
+) {
+    let pool = daemon.home.pools.get_mut(server);
+    let Some(known) = pool.and_then(|pool| pool.forget(connection)) else {
+        return;
+    };
+    end_use(daemon, now, fx, known.usage, true);
+}
+
+/// Ends what used a connection that is gone; `sent` tells whether a statement may have reached the
+/// server.
+fn end_use(daemon: &mut Daemon, now: Now, fx: &mut Effects, usage: Use, sent: bool) {
+    match usage {
+        Use::Held(name) => drop_transaction(daemon, now, fx, name),
+        Use::Running(work) => {
+            if let Some(name) = work.transaction {
+                transaction::forget(daemon, fx, name);
+            }
+            let outcome = lost_outcome(daemon, &work, sent);
+            finish(daemon, now, fx, work.request, outcome);
+        }
+        _ => {}
+    }
+}
+
+/// Forgets a transaction whose connection is gone, and refuses its waiting statement.
+fn drop_transaction(daemon: &mut Daemon, now: Now, fx: &mut Effects, name: id::Transaction) {
+    let Some(request) = transaction::forget(daemon, fx, name).and_then(|held| held.busy) else {
+        return;
+    };
+    if daemon.home.tasks.get(&request).is_some_and(Task::waits) {
+        let fault = Fault::new(Code::TransactionLost, "the server connection was lost");
+        finish(daemon, now, fx, request, Outcome::NotRun(fault));
+    }
+}
+
+/// The truth about a statement whose connection is gone: what could not commit did not run.
+fn lost_outcome(daemon: &Daemon, work: &Work, sent: bool) -> Outcome {
+    let task = daemon.home.tasks.get(&work.request);
+    let writes = task.is_some_and(|task| task.run.access == Access::Write);
+    let detail = "the server connection was lost";
+    if sent && writes {
+        Outcome::Unknown(Fault::new(Code::OutcomeUnknown, detail))
+    } else if work.transaction.is_some() {
+        Outcome::NotRun(Fault::new(Code::TransactionLost, detail))
+    } else {
+        Outcome::NotRun(Fault::new(Code::ServerLost, detail))
+    }
+}
+
+/// Cancels statements whose deadline passed, and gives up connections that do not come back.
+pub fn expire(daemon: &mut Daemon, now: Now, fx: &mut Effects, server: &id::Server) {
+    let Some(pool) = daemon.home.pools.get_mut(server) else {
+        return;
+    };
+    let mut stuck = Vec::new();
+    for (connection, known) in &mut pool.connections {
+        let end = match &known.usage {
+            Use::Running(work) => work.deadline + CANCEL_GRACE,
+            Use::Opening(since) | Use::Resetting(since) => *since + UNUSED_TIMEOUT,
+            Use::Idle | Use::Held(_) | Use::Abandoned | Use::Closing(_) => continue,
+        };
+        let late = matches!(&known.usage, Use::Running(work) if now.mono >= work.deadline);
+        if now.mono >= end {
+            stuck.push(*connection);
+        } else if late && !known.tainted {
+            known.tainted = true;
+            fx.server(server, Call::Cancel(*connection));
+        }
+    }
+    for connection in stuck {
+        give_up(daemon, now, fx, server, connection);
+    }
+    expire_answers(daemon, now, fx, server);
+}
+
+/// Ends requests that have waited for a proof or a majority long past their deadline.
+fn expire_answers(daemon: &mut Daemon, now: Now, fx: &mut Effects, server: &id::Server) {
+    let overdue = |task: &Task| {
+        let waits = matches!(task.stage, Stage::Waiting | Stage::Ended);
+        waits && task.run.server == *server && now.mono >= task.deadline + CANCEL_GRACE
+    };
+    let tasks = daemon.home.tasks.iter().filter(|(_, task)| overdue(task));
+    let overdue: Vec<_> = tasks.map(|(request, task)| (*request, task.stage.clone())).collect();
+    for (request, stage) in overdue {
+        let fault = Fault::new(Code::Deadline, "the deadline passed");
+        match stage {
+            Stage::Ended => on_held(daemon, now, fx, request, Err(fault)),
+            _ => finish(daemon, now, fx, request, Outcome::NotRun(fault)),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gcl-core/src/home/fate.rs
@@ -0,0 +1,208 @@
+//! What became of recent requests: answers kept for duplicates, and tombstones.
+//!
+//! An entry that lost its home asks for a request's fate. A home that never started the request
+//! writes a tombstone before it says so, so that a late copy is refused. The memory is bounded in
+//! time, number and bytes; a question about a time that it no longer covers, or that lies before
+//! this life of the daemon, is answered by saying so.
+
+use super::task;
+use crate::{
+    code::{Code, Fault},
+    effect::Effects,
+    id, member, peer, request,
+    run::{Answer, Outcome, Run},
+    state::State as Daemon,
+    time::Now,
+};
+use indexmap::IndexMap;
+use std::{collections::VecDeque, time::Duration};
+
+/// How long a fate is kept.
+const RETENTION: Duration = Duration::from_secs(30);
+/// Most fates kept.
+const MOST_FATES: usize = 100_000;
+/// Most bytes of answers kept.
+const MOST_BYTES: usize = 4 << 20;
+/// Allowance for the delay of messages when ages are compared.
+const MARGIN: Duration = Duration::from_millis(200);
+
+/// What became of a request.
+#[derive(Clone, Debug)]
+enum Fate {
+    /// Never started, and will not be.
+    Tombstone,
+    /// Refused before it started.
+    Refused,
+    /// Answered; the answer is kept.
+    Answered(Box<Answer>),
+    /// Answered; the answer is no longer kept.
+    Ran,
+}
+
+/// A fate with the try and the time that it belongs to.
+#[derive(Clone, Debug)]
+struct Entry {
+    at: Duration,
+    attempt: u32,
+    fate: Fate,
+}
+
+/// The fates of recent requests.
+#[derive(Clone, Debug, Default)]
+pub struct Memory {
+    fates: IndexMap<id::Request, Entry>,
+    order: VecDeque<(Duration, id::Request)>,
+    answers: VecDeque<(id::Request, usize)>,
+    bytes: usize,
+    covers: Duration,
+}
+
+/// What a `Run` repeats.
+#[derive(Clone, Debug)]
+pub enum Repeat {
+    /// Nothing: it is to run.
+    New,
+    /// An answered request.
+    Answered(Box<Answer>),
+    /// A request that may no longer run.
+    Refused,
+}
+
+impl Memory {
+    /// Notes the answer to a request.
+    pub fn note(&mut self, now: Duration, answer: &Answer) {
+        let fate = match &answer.outcome {
+            Outcome::NotRun(_) => Fate::Refused,
+            Outcome::Done { .. } | Outcome::Unknown(_) => {
+                let size = size(answer);
+                self.bytes += size;
+                self.answers.push_back((answer.request, size));
+                Fate::Answered(Box::new(answer.clone()))
+            }
+        };
+        self.insert(now, answer.request, answer.attempt, fate);
+    }
+
+    fn insert(&mut self, now: Duration, request: id::Request, attempt: u32, fate: Fate) {
+        self.fates.insert(request, Entry { at: now, attempt, fate });
+        self.order.push_back((now, request));
+        self.trim(now);
+    }
+
+    fn trim(&mut self, now: Duration) {
+        while self.bytes > MOST_BYTES
+            && let Some((request, size)) = self.answers.pop_front()
+        {
+            self.bytes -= size;
+            self.forget_answer(request);
+        }
+        while let Some((at, request)) = self.order.front().copied()
+            && (at + RETENTION < now || self.order.len() > MOST_FATES)
+        {
+            self.order.pop_front();
+            self.covers = at;
+            if self.fates.get(&request).is_some_and(|entry| entry.at == at) {
+                self.fates.swap_remove(&request);
+            }
+        }
+        while let Some((request, size)) = self.answers.front().copied()
+            && !self.fates.contains_key(&request)
+        {
+            self.answers.pop_front();
+            self.bytes -= size;
+        }
+    }
+
+    fn forget_answer(&mut self, request: id::Request) {
+        if let Some(entry) = self.fates.get_mut(&request)
+            && matches!(entry.fate, Fate::Answered(_))
+        {
+            entry.fate = Fate::Ran;
+        }
+    }
+
+    /// Judges whether a `Run` repeats an earlier one.
+    #[must_use]
+    pub fn repeat(&self, run: &Run) -> Repeat {
+        let Some(entry) = self.fates.get(&run.request) else {
+            return Repeat::New;
+        };
+        let later = run.attempt > entry.attempt;
+        let repeatable = run.repeatable || run.idempotency.is_some();
+        let same = run.attempt >= entry.attempt;
+        match &entry.fate {
+            Fate::Tombstone | Fate::Refused if later => Repeat::New,
+            Fate::Answered(answer) if later && repeatable && unknown_outcome(answer) => Repeat::New,
+            Fate::Answered(answer) if same => {
+                let answer = Answer { attempt: run.attempt, ..Answer::clone(answer) };
+                Repeat::Answered(Box::new(answer))
+            }
+            Fate::Ran if same => Repeat::Answered(Box::new(gone(run))),
+            _ => Repeat::Refused,
+        }
+    }
+}
+
+const fn unknown_outcome(answer: &Answer) -> bool {
+    matches!(answer.outcome, Outcome::Unknown(_))
+}
+
+fn size(answer: &Answer) -> usize {
+    match &answer.outcome {
+        Outcome::Done { frames, .. } => frames.iter().map(|frame| frame.body.len()).sum(),
+        Outcome::NotRun(_) | Outcome::Unknown(_) => 0,
+    }
+}
+
+fn gone(run: &Run) -> Answer {
+    let detail = "the request ran; its answer is no longer kept";
+    Answer {
+        request: run.request,
+        attempt: run.attempt,
+        server: run.server.clone(),
+        outcome: Outcome::Unknown(Fault::new(Code::OutcomeUnknown, detail)),
+        leader: None,
+    }
+}
+
+/// Answers an entry that asks what became of a request whose first try it sent `age` ago.
+pub fn on_ask(
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    from: &id::Daemon,
+    (request, attempt): (id::Request, u32),
+    age: Duration,
+) {
+    let message = if task::readdress(daemon, request, attempt, from) {
+        fate(request, request::Fate::Running)
+    } else {
+        look_up(&mut daemon.home.memory, now, (request, attempt), age)
+    };
+    member::send(daemon, fx, from, message);
+}
+
+const fn fate(request: id::Request, fate: request::Fate) -> peer::Message {
+    peer::Message::Request(request::Message::Fate { request, fate })
+}
+
+fn look_up(
+    memory: &mut Memory,
+    now: Now,
+    (request, attempt): (id::Request, u32),
+    age: Duration,
+) -> peer::Message {
+    match memory.fates.get(&request).map(|entry| &entry.fate) {
+        Some(Fate::Answered(answer)) => {
+            let answer = Answer { attempt, ..Answer::clone(answer) };
+            return peer::Message::Answer(Box::new(answer));
+        }
+        Some(Fate::Ran) => return fate(request, request::Fate::Forgotten),
+        None if now.mono < age + memory.covers + MARGIN => {
+            return fate(request, request::Fate::Forgotten);
+        }
+        Some(Fate::Tombstone | Fate::Refused) | None => {}
+    }
+    memory.insert(now.mono, request, attempt, Fate::Tombstone);
+    fate(request, request::Fate::NeverSeen)
+}
--- /dev/null
+++ b/crates/gcl-core/src/home/handover.rs
@@ -0,0 +1,315 @@
+//! Which servers this daemon is home of, and the hand-over between two homes.
+//!
+//! Two homes at once are harmless: a settled home leaves a reserve of the server's connections
+//! unused, and a new one starts on that reserve. It asks the earlier home for release and takes the
+//! rest when that home has closed its connections, or has been dead for longer than its connections
+//! last. A home that loses a server runs no queued work, lets open transactions finish within a
+//! bound, closes its connections and releases the server; it does so only when its own predecessors
+//! have, so that releases chain. The owners are computed again only when the members or the set of
+//! servers changed.
+
+use super::{Message, pool, task, transaction};
+use crate::{
+    code::{Code, Fault, Result},
+    effect::Effects,
+    id, member, peer,
+    record::{Kind, Line},
+    rendezvous,
+    run::{Outcome, Run},
+    state::State as Daemon,
+    time::Now,
+};
+use std::time::Duration;
+
+/// How long connections of a dead home may last at the server.
+const DEAD_HOME_WAIT: Duration = Duration::from_secs(10);
+/// Wait that is suggested when another home is to be tried.
+const RETRY_ELSEWHERE: Duration = Duration::from_millis(50);
+
+/// Admits a request that is not part of an open transaction.
+///
+/// # Errors
+/// [`Code::HomeLost`], [`Code::Draining`] or [`Code::ServerLost`].
+pub fn admits(daemon: &mut Daemon, now: Now, fx: &mut Effects, run: &Run) -> Result<()> {
+    let elsewhere = |code, detail| Err(Fault::new(code, detail).retry_after(RETRY_ELSEWHERE));
+    let config = daemon.config.snapshot.server(&run.server);
+    match config.filter(|config| config.database == run.database) {
+        None => return elsewhere(Code::HomeLost, "the server is not known here"),
+        Some(config) if config.leaving => {
+            return elsewhere(Code::ServerLost, "the server is leaving");
+        }
+        Some(_) => {}
+    }
+    if !daemon.home.pools.contains_key(&run.server)
+        && member::home(daemon, &run.server).as_ref() == Some(&daemon.settings.daemon)
+        && stays(daemon, &run.server)
+    {
+        gain(daemon, now, fx, &run.server, None);
+    }
+    match daemon.home.pools.get(&run.server) {
+        Some(pool) if pool.leaving.is_none() => Ok(()),
+        _ if daemon.draining => elsewhere(Code::Draining, "the daemon is draining"),
+        _ => elsewhere(Code::HomeLost, "the server has another home"),
+    }
+}
+
+/// Whether a server is to get no new work here.
+#[must_use]
+pub fn leaves(daemon: &Daemon, server: &id::Server) -> bool {
+    let pool = daemon.home.pools.get(server);
+    let config = daemon.config.snapshot.server(server);
+    pool.is_some_and(|pool| pool.leaving.is_some()) || config.is_none_or(|config| config.leaving)
+}
+
+/// Follows a change of the configuration.
+pub fn on_config(daemon: &mut Daemon, now: Now, fx: &mut Effects) {
+    let servers = &daemon.config.snapshot.servers;
+    let newest = servers.values().map(|server| server.revision).max().unwrap_or_default();
+    let stamp = (servers.len(), newest);
+    if daemon.home.stamp == stamp {
+        return;
+    }
+    daemon.home.stamp = stamp;
+    recompute(daemon, now, fx);
+    let held: Vec<_> = daemon.home.pools.keys().cloned().collect();
+    for server in held {
+        if leaves(daemon, &server) {
+            let fault = Fault::new(Code::ServerLost, "the server is leaving");
+            refuse_queued(daemon, now, fx, &server, &fault.retry_after(RETRY_ELSEWHERE));
+        }
+        super::tend(daemon, now, fx, &server);
+    }
+}
+
+/// Compares the owner of each server that may concern this daemon with the one known.
+pub fn recompute(daemon: &mut Daemon, now: Now, fx: &mut Effects) {
+    let me = daemon.settings.daemon.clone();
+    let mut changed = Vec::new();
+    for server in concerned(daemon) {
+        let home = member::home(daemon, &server);
+        let mine = home.as_ref() == Some(&me) && stays(daemon, &server);
+        let known = match home {
+            Some(home) => daemon.home.homes.insert(server.clone(), home),
+            None => daemon.home.homes.swap_remove(&server),
+        };
+        let held = daemon.home.pools.get(&server).is_some_and(|pool| pool.leaving.is_none());
+        if mine != held {
+            changed.push((server, mine, known));
+        }
+    }
+    for (server, mine, known) in changed {
+        if mine {
+            gain(daemon, now, fx, &server, known.filter(|known| *known != me));
+        } else {
+            lose(daemon, now, fx, &server, "another daemon is the home");
+        }
+    }
+}
+
+/// Servers of this failure domain and of domains in which no daemon lives, and those held.
+fn concerned(daemon: &Daemon) -> Vec<id::Server> {
+    let own = &daemon.settings.domain;
+    let mut inhabited: Vec<&str> = vec![own];
+    for member in daemon.member.members.values().filter(|member| member.alive) {
+        if !inhabited.contains(&member.domain.as_str()) {
+            inhabited.push(&member.domain);
+        }
+    }
+    let held = &daemon.home.pools;
+    let servers = daemon.config.snapshot.servers.iter();
+    let concerned = servers.filter(|(name, server)| {
+        let domain = &server.value.domain;
+        domain == own || !inhabited.contains(&domain.as_str()) || held.contains_key(*name)
+    });
+    let mut names: Vec<_> = concerned.map(|(name, _)| name.clone()).collect();
+    let gone = held.keys().filter(|name| daemon.config.snapshot.server(name).is_none());
+    names.extend(gone.cloned());
+    names
+}
+
+/// Whether this daemon may keep a server: one that is draining does so only for want of another.
+fn stays(daemon: &Daemon, server: &id::Server) -> bool {
+    !daemon.draining || runner_up(daemon, server).is_none()
+}
+
+/// The daemon that would be home of a server if this one were not there.
+fn runner_up(daemon: &Daemon, server: &id::Server) -> Option<id::Daemon> {
+    let domain = &daemon.config.snapshot.server(server)?.domain;
+    let alive = daemon.member.members.values().filter(|member| member.alive);
+    let local = alive.clone().filter(|member| member.domain == *domain);
+    let name = |member: &member::Member| member.daemon.clone();
+    rendezvous::owner(server, local, |member| &member.daemon)
+        .or_else(|| rendezvous::owner(server, alive, |member| &member.daemon))
+        .map(name)
+}
+
+fn gain(
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    server: &id::Server,
+    known: Option<id::Daemon>,
+) {
+    let previous = known.or_else(|| runner_up(daemon, server));
+    let pool = daemon.home.pools.entry(server.clone()).or_default();
+    pool.leaving = None;
+    if let Some(previous) = previous {
+        pool.claims.insert(previous, now.mono);
+    } else {
+        pool.settled |= pool.claims.is_empty();
+    }
+    record(fx, server, "home gained");
+    claim(daemon, now, fx, server);
+    super::tend(daemon, now, fx, server);
+}
+
+fn lose(
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    server: &id::Server,
+    reason: &'static str,
+) {
+    let Some(pool) = daemon.home.pools.get_mut(server) else {
+        return;
+    };
+    pool.leaving = Some(now.mono);
+    record(fx, server, reason);
+    let fault = Fault::new(Code::HomeLost, "the server has another home");
+    refuse_queued(daemon, now, fx, server, &fault.retry_after(RETRY_ELSEWHERE));
+    super::tend(daemon, now, fx, server);
+}
+
+/// Refuses the requests that wait for a server, other than those of open transactions.
+pub fn refuse_queued(
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    server: &id::Server,
+    fault: &Fault,
+) {
+    let pool = daemon.home.pools.get_mut(server);
+    let refused = pool.map(|pool| pool.queue.clear()).unwrap_or_default();
+    for request in refused {
+        task::finish(daemon, now, fx, request, Outcome::NotRun(fault.clone()));
+    }
+}
+
+fn record(fx: &mut Effects, server: &id::Server, reason: &'static str) {
+    fx.record(Line { server: server.clone(), reason: reason.into(), ..Line::new(Kind::Placement) });
+}
+
+/// Asks earlier homes for release, and stops to wait for those that have been dead long enough.
+pub fn claim(daemon: &mut Daemon, now: Now, fx: &mut Effects, server: &id::Server) {
+    let Some(pool) = daemon.home.pools.get_mut(server) else {
+        return;
+    };
+    let members = &daemon.member.members;
+    for (name, since) in &mut pool.claims {
+        if members.get(name).is_some_and(|member| member.alive) {
+            *since = now.mono;
+        }
+    }
+    pool.claims.retain(|_, since| now.mono < *since + DEAD_HOME_WAIT);
+    let asked: Vec<_> = pool.claims.keys().cloned().collect();
+    settle(daemon, fx, server);
+    for name in asked {
+        let message = Message::Claim(server.clone());
+        member::send(daemon, fx, &name, peer::Message::Home(message));
+    }
+}
+
+fn settle(daemon: &mut Daemon, fx: &mut Effects, server: &id::Server) {
+    if let Some(pool) = daemon.home.pools.get_mut(server)
+        && pool.claims.is_empty()
+        && !pool.settled
+    {
+        pool.settled = true;
+        record(fx, server, "earlier homes have released the server");
+    }
+}
+
+/// Acts on a message of another home.
+pub fn on_message(
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    from: &id::Daemon,
+    message: Message,
+) {
+    match message {
+        Message::Claim(server) => match daemon.home.pools.get_mut(&server) {
+            Some(pool) if pool.claimants.contains(from) => {}
+            Some(pool) => pool.claimants.push(from.clone()),
+            None => release(daemon, fx, from, server),
+        },
+        Message::Released(server) => {
+            if let Some(pool) = daemon.home.pools.get_mut(&server) {
+                pool.claims.swap_remove(from);
+                settle(daemon, fx, &server);
+                super::tend(daemon, now, fx, &server);
+            }
+        }
+    }
+}
+
+fn release(daemon: &Daemon, fx: &mut Effects, to: &id::Daemon, server: id::Server) {
+    member::send(daemon, fx, to, peer::Message::Home(Message::Released(server)));
+}
+
+/// Moves a hand-over on: closes idle connections, bounds open transactions, and releases the server
+/// once nothing is left.
+pub fn progress(daemon: &mut Daemon, now: Now, fx: &mut Effects, server: &id::Server) {
+    let bound = Duration::from_millis(daemon.settings.bounds.drain_ms);
+    let Some(pool) = daemon.home.pools.get_mut(server) else {
+        return;
+    };
+    let Some(since) = pool.leaving else { return };
+    while let Some(connection) = pool.idle.last().copied() {
+        let call = pool.close(now, connection);
+        fx.server(server, call);
+    }
+    if now.mono >= since + bound {
+        let open = daemon.home.transactions.iter().filter(|(_, held)| held.server == *server);
+        let open: Vec<_> = open.map(|(name, _)| *name).collect();
+        for name in open {
+            transaction::abandon(daemon, now, fx, name);
+        }
+    }
+    let (slots, _) = super::limits(daemon, server);
+    let Some(pool) = daemon.home.pools.get_mut(server) else {
+        return;
+    };
+    pool::reset_abandoned(pool, now, fx, server, slots);
+    let waits = !pool.claims.is_empty() && !daemon.draining;
+    if pool.connections.is_empty() && pool.queue.is_empty() && !waits {
+        retire(daemon, fx, server);
+    }
+}
+
+fn retire(daemon: &mut Daemon, fx: &mut Effects, server: &id::Server) {
+    let Some(pool) = daemon.home.pools.swap_remove(server) else {
+        return;
+    };
+    fx.cancel(crate::timer::Key::Queue(server.clone()));
+    record(fx, server, "home released");
+    let me = daemon.settings.daemon.clone();
+    let home = member::home(daemon, server).filter(|home| *home != me);
+    let mut targets = pool.claimants;
+    targets.extend(home.or_else(|| runner_up(daemon, server)));
+    targets.sort_unstable();
+    targets.dedup();
+    for to in targets {
+        release(daemon, fx, &to, server.clone());
+    }
+}
+
+/// Hands all servers over for which another daemon lives.
+pub fn drain(daemon: &mut Daemon, now: Now, fx: &mut Effects) {
+    let held: Vec<_> = daemon.home.pools.keys().cloned().collect();
+    for server in held {
+        if runner_up(daemon, &server).is_some() {
+            lose(daemon, now, fx, &server, "the daemon is draining");
+        }
+    }
+}
--- a/crates/gcl-core/src/home/mod.rs
+++ b/crates/gcl-core/src/home/mod.rs
@@ -1,65 +1,131 @@
 //! The home of a backend server: its scarce connections, its slots and the queue for them.
+//!
+//! A request passes through [`task`] (checks and queue), runs on a connection of the [`pool`], and
+//! ends in [`end`]. [`transaction`] binds connections to transactions, [`fate`] remembers what
+//! became of requests, and [`handover`] moves servers between daemons.
 
+pub mod end;
+pub mod fate;
+pub mod handover;
+pub mod pool;
+pub mod queue;
+pub mod task;
+pub mod transaction;
+
+use self::{fate::Memory, pool::Pool, transaction::Transaction};
 use crate::{
-    batch::Status,
     code::{Code, Fault, Result},
     effect::Effects,
-    group, id, member, peer,
-    run::{Access, Answer, Outcome, Run, Scope},
-    server::{Call, Ended, Event},
+    id,
+    run::{Outcome, Run},
+    server::Event,
     state::State as Daemon,
     time::Now,
 };
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
-use std::collections::VecDeque;
+use std::time::Duration;
 
 /// Messages between homes.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub enum Message {
     /// The sender no longer uses a server's connections.
     Released(id::Server),
+    /// The sender is the new home of a server and asks for its release.
+    Claim(id::Server),
+}
+
+/// How far a request has come.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Stage {
+    /// It waits for its replica.
+    Waiting,
+    /// It waits for a slot.
+    Queued,
+    /// It runs on a connection.
+    Running(id::Connection),
+    /// It ran, and its answer waits.
+    Ended,
+}
+
+/// The proof that the primary was not superseded after the request arrived.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Proof {
+    /// Not asked for.
+    Unasked,
+    /// Asked for.
+    Asked,
+    /// Given.
+    Given,
 }
 
 /// A request at its home.
 #[derive(Clone, Debug)]
-struct Task {
+pub struct Task {
     from: id::Daemon,
     run: Run,
-    connection: Option<id::Connection>,
+    arrived: Duration,
+    deadline: Duration,
+    term: Option<id::Term>,
+    stage: Stage,
+    proof: Proof,
+    held: bool,
     done: Option<Outcome>,
 }
 
-/// The connections to one server.
-#[derive(Clone, Debug, Default)]
-struct Pool {
-    open: usize,
-    idle: Vec<id::Connection>,
-    queue: VecDeque<id::Request>,
-}
-
 /// The servers that this daemon is home of.
 #[derive(Clone, Debug, Default)]
 pub struct State {
     pools: IndexMap<id::Server, Pool>,
     tasks: IndexMap<id::Request, Task>,
-    transactions: IndexMap<id::Transaction, (id::Server, id::Connection)>,
+    transactions: IndexMap<id::Transaction, Transaction>,
+    memory: Memory,
+    holding: IndexSet<id::Request>,
+    homes: IndexMap<id::Server, id::Daemon>,
+    stamp: (usize, id::Revision),
+}
+
+impl State {
+    /// The connections to a server that this daemon is home of.
+    #[must_use]
+    pub fn pool(&self, server: &str) -> Option<&Pool> {
+        self.pools.get(server)
+    }
+
+    /// The servers that this daemon holds connections to.
+    pub fn servers(&self) -> impl Iterator<Item = &id::Server> {
+        self.pools.keys()
+    }
+}
+
+/// The slots of a server, and the connections that this daemon may have open to it.
+fn limits(daemon: &Daemon, server: &id::Server) -> (usize, usize) {
+    let settled = daemon.home.pools.get(server).is_some_and(|pool| pool.settled);
+    daemon.config.snapshot.server(server).map_or((1, 0), |config| {
+        let connections = config.connections as usize;
+        (config.slots.max(1) as usize, pool::capacity(connections, settled))
+    })
+}
+
+/// The weight of a workspace.
+fn weight(daemon: &Daemon, workspace: &str) -> u32 {
+    let known = daemon.config.snapshot.workspaces.get(workspace);
+    known.map_or(1, |known| known.value.weight)
+}
+
+/// Does the regular work for a server, and starts what can start.
+fn tend(daemon: &mut Daemon, now: Now, fx: &mut Effects, server: &id::Server) {
+    pool::upkeep(daemon, now, fx, server);
+    task::pump(daemon, now, fx, server);
+    pool::arm(daemon, now, fx, server);
 }
 
 /// Takes a request of an entry.
 pub fn on_run(daemon: &mut Daemon, now: Now, fx: &mut Effects, from: &id::Daemon, run: Run) {
-    let (request, access) = (run.request, run.access);
-    let (database, server) = (run.database.clone(), run.server.clone());
-    let task = Task { from: from.clone(), run, connection: None, done: None };
-    daemon.home.tasks.insert(request, task);
-    match access {
-        Access::Write => enqueue(daemon, now, fx, request),
-        Access::Strong => group::prove(daemon, now, fx, &database, request),
-        Access::Replica { .. } => group::ready(daemon, now, fx, &server, access, request),
-    }
+    task::arrive(daemon, now, fx, from, run);
 }
 
-/// Takes the proof that a strong read waits for.
+/// Takes the proof that the primary was not superseded after a request arrived.
 pub fn on_proof(
     daemon: &mut Daemon,
     now: Now,
@@ -67,10 +133,7 @@
     request: id::Request,
     proof: Result<()>,
 ) {
-    match proof {
-        Ok(()) => enqueue(daemon, now, fx, request),
-        Err(fault) => finish(daemon, fx, request, Outcome::NotRun(fault)),
-    }
+    end::on_proof(daemon, now, fx, request, proof);
 }
 
 /// Takes the word that a replica is recent enough.
@@ -81,101 +144,24 @@
     request: id::Request,
     ready: Result<()>,
 ) {
-    on_proof(daemon, now, fx, request, ready);
-}
-
-/// Takes the word that a majority holds a commit.
-pub fn on_held(
-    daemon: &mut Daemon,
-    _now: Now,
-    fx: &mut Effects,
-    request: id::Request,
-    held: Result<()>,
-) {
-    let done = daemon.home.tasks.get_mut(&request).and_then(|task| task.done.take());
-    match (held, done) {
-        (Ok(()), Some(outcome)) => finish(daemon, fx, request, outcome),
-        (Ok(()), None) => {}
-        (Err(fault), _) => finish(daemon, fx, request, Outcome::Unknown(fault)),
-    }
-}
-
-fn enqueue(daemon: &mut Daemon, now: Now, fx: &mut Effects, request: id::Request) {
-    let Some(task) = daemon.home.tasks.get(&request) else {
-        return;
-    };
-    if let Scope::Within(transaction) = task.run.scope {
-        if let Some((_, connection)) = daemon.home.transactions.get(&transaction) {
-            start(daemon, now, fx, request, *connection);
-        } else {
-            let fault = Fault::new(Code::TransactionLost, "the transaction is gone");
-            finish(daemon, fx, request, Outcome::NotRun(fault));
-        }
-        return;
+    let waits = daemon.home.tasks.get(&request).is_some_and(|task| task.stage == Stage::Waiting);
+    match ready {
+        Ok(()) => task::enqueue(daemon, now, fx, request),
+        Err(fault) if waits => task::finish(daemon, now, fx, request, Outcome::NotRun(fault)),
+        Err(_) => {}
     }
-    let server = task.run.server.clone();
-    daemon.home.pools.entry(server.clone()).or_default().queue.push_back(request);
-    pump(daemon, now, fx, &server);
 }
 
-fn pump(daemon: &mut Daemon, now: Now, fx: &mut Effects, server: &id::Server) {
-    let Some(config) = daemon.config.snapshot.server(server) else {
-        return;
-    };
-    let (address, most) = (config.address, config.connections as usize);
-    let Some(pool) = daemon.home.pools.get_mut(server) else {
-        return;
-    };
-    if !pool.queue.is_empty()
-        && let Some(connection) = pool.idle.pop()
-        && let Some(request) = pool.queue.pop_front()
-    {
-        start(daemon, now, fx, request, connection);
-        return pump(daemon, now, fx, server);
-    }
-    if !pool.queue.is_empty() && pool.open < most {
-        pool.open += 1;
-        let connection = daemon.counters.connection();
-        fx.server(server, Call::Open { connection, address });
-    }
-}
-
-fn start(
+/// Takes the word that a majority holds a commit, or what a read saw.
+pub fn on_held(
     daemon: &mut Daemon,
     now: Now,
     fx: &mut Effects,
     request: id::Request,
-    connection: id::Connection,
+    held: Result<()>,
 ) {
-    let Some(task) = daemon.home.tasks.get(&request) else {
-        return;
-    };
-    let (database, server) = (task.run.database.clone(), task.run.server.clone());
-    let term = match task.run.access {
-        Access::Write => group::writable(daemon, now, &database, &server).map(Some),
-        Access::Strong | Access::Replica { .. } => Ok(None),
-    };
-    let term = match term {
-        Ok(term) => term,
-        Err(fault) => {
-            daemon.home.pools.entry(server).or_default().idle.push(connection);
-            return finish(daemon, fx, request, Outcome::NotRun(fault));
-        }
-    };
-    let Some(task) = daemon.home.tasks.get_mut(&request) else {
-        return;
-    };
-    task.connection = Some(connection);
-    let call = Call::Run {
-        connection,
-        request,
-        term,
-        read_only: matches!(task.run.access, Access::Replica { .. }),
-        variables: task.run.variables.clone(),
-        idempotency: task.run.idempotency,
-        batch: task.run.batch.clone(),
-    };
-    fx.server(&server, call);
+    daemon.home.holding.swap_remove(&request);
+    end::on_held(daemon, now, fx, request, held);
 }
 
 /// Acts on an event of a data connection.
@@ -186,158 +172,210 @@
     server: &id::Server,
     event: Event,
 ) {
-    let pool = daemon.home.pools.entry(server.clone()).or_default();
     match event {
-        Event::Opened(connection) | Event::Reset { connection, clean: true } => {
-            pool.idle.push(connection);
+        Event::Opened(connection) => on_opened(daemon, now, fx, server, connection),
+        Event::Failed { connection, full } => on_failed(daemon, now, fx, server, connection, full),
+        Event::Ended { connection, request, ended } => {
+            end::on_ended(daemon, now, fx, server, (connection, request), ended);
         }
-        Event::Failed { .. } | Event::Reset { .. } => pool.open -= 1,
-        Event::Closed(connection) => {
-            pool.open -= 1;
-            pool.idle.retain(|idle| *idle != connection);
+        Event::Reset { connection, clean: true } => {
+            on_opened(daemon, now, fx, server, connection);
         }
-        Event::Ended { connection, request, ended } => {
-            on_ended(daemon, now, fx, server, connection, request, ended);
+        Event::Reset { connection, clean: false } | Event::Closed(connection) => {
+            end::on_closed(daemon, now, fx, server, connection);
         }
         Event::Answered { .. } => {}
     }
-    pump(daemon, now, fx, server);
+    task::pump(daemon, now, fx, server);
 }
 
-fn on_ended(
+/// Puts a connection to work that is open and clean; one that is not expected is closed.
+fn on_opened(
     daemon: &mut Daemon,
     now: Now,
     fx: &mut Effects,
     server: &id::Server,
     connection: id::Connection,
-    request: id::Request,
-    ended: Ended,
 ) {
-    match ended {
-        Ended::Answered { frames, status, mark, .. } => {
-            if status == Status::Idle {
-                daemon.home.transactions.retain(|_, (_, held)| *held != connection);
-                let pool = daemon.home.pools.entry(server.clone()).or_default();
-                pool.idle.push(connection);
-            } else {
-                daemon.home.transactions.entry(request).or_insert((server.clone(), connection));
-            }
-            let outcome = Outcome::Done { frames, status, mark };
-            let Some(task) = daemon.home.tasks.get_mut(&request) else {
-                return;
-            };
-            match (task.run.access, mark) {
-                (Access::Write, Some(mark)) => {
-                    let database = task.run.database.clone();
-                    task.done = Some(outcome);
-                    group::hold(daemon, now, fx, &database, mark, request);
-                }
-                _ => finish(daemon, fx, request, outcome),
-            }
-        }
-        Ended::TooLarge { .. } => {
-            let fault = Fault::new(Code::AnswerTooLarge, "the answer is too large");
-            finish(daemon, fx, request, Outcome::Unknown(fault));
-        }
-        Ended::Lost { sent } => {
-            let fault = Fault::new(Code::OutcomeUnknown, "the server connection was lost");
-            let not_run = Fault::new(Code::ServerLost, "the server connection was lost");
-            let outcome = if sent { Outcome::Unknown(fault) } else { Outcome::NotRun(not_run) };
-            finish(daemon, fx, request, outcome);
+    let pool = daemon.home.pools.get_mut(server);
+    let expected = pool.as_ref().and_then(|pool| pool.connections.get(&connection));
+    let expected = expected.is_some_and(|known| {
+        matches!(known.usage, pool::Use::Opening(_) | pool::Use::Resetting(_))
+    });
+    let call = match pool {
+        Some(pool) if expected => {
+            pool.on_opened();
+            pool.put_back(now, connection)
         }
+        Some(pool) if pool.connections.contains_key(&connection) => None,
+        _ => Some(crate::server::Call::Close(connection)),
+    };
+    if let Some(call) = call {
+        fx.server(server, call);
     }
 }
 
-fn finish(daemon: &mut Daemon, fx: &mut Effects, request: id::Request, outcome: Outcome) {
-    let Some(task) = daemon.home.tasks.swap_remove(&request) else {
+/// Backs off from a server that accepts no connection, and sends what waits elsewhere when no
+/// connection will become free.
+fn on_failed(
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    server: &id::Server,
+    connection: id::Connection,
+    full: bool,
+) {
+    let Some(pool) = daemon.home.pools.get_mut(server) else {
         return;
     };
-    let answer = Answer {
-        request,
-        attempt: task.run.attempt,
-        leader: group::leader(daemon, &task.run.database),
-        server: task.run.server,
-        outcome,
-    };
-    member::send(daemon, fx, &task.from, peer::Message::Answer(Box::new(answer)));
+    let wait = pool.on_failed(now, connection);
+    let hope = pool.has_hope();
+    pool::arm_by(pool, now, fx, server, now.mono + wait);
+    fx.count("home_open_failed", if full { "full" } else { "unreachable" }, 1);
+    if !hope {
+        let fault = Fault::new(Code::ServerLost, "the server accepts no connection now");
+        handover::refuse_queued(daemon, now, fx, server, &fault.retry_after(wait));
+    }
 }
 
 /// Cancels a request of an entry.
 pub fn on_cancel(
     daemon: &mut Daemon,
-    _now: Now,
+    now: Now,
     fx: &mut Effects,
-    _from: &id::Daemon,
+    from: &id::Daemon,
     request: id::Request,
 ) {
-    let Some(task) = daemon.home.tasks.get(&request) else {
-        return;
-    };
-    if let Some(connection) = task.connection {
-        fx.server(&task.run.server.clone(), Call::Cancel(connection));
-    }
+    task::on_cancel(daemon, now, fx, from, request);
 }
 
 /// Rolls back and releases a transaction whose session ended.
 pub fn on_release(
     daemon: &mut Daemon,
-    _now: Now,
+    now: Now,
     fx: &mut Effects,
-    _from: &id::Daemon,
+    from: &id::Daemon,
     transaction: id::Transaction,
 ) {
-    if let Some((server, connection)) = daemon.home.transactions.swap_remove(&transaction) {
-        fx.server(&server, Call::Reset(connection));
-    }
+    transaction::on_release(daemon, now, fx, from, transaction);
 }
 
-/// Tells an entry what became of a request, and refuses it from then on if it never started.
+/// Tells an entry what became of a request that it first sent `age` ago, and refuses its tries up to
+/// `attempt` from then on if none has started.
 pub fn on_ask_fate(
-    _daemon: &mut Daemon,
-    _now: Now,
-    _fx: &mut Effects,
-    _from: &id::Daemon,
-    _request: id::Request,
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    from: &id::Daemon,
+    (request, attempt): (id::Request, u32),
+    age: Duration,
 ) {
+    fate::on_ask(daemon, now, fx, from, (request, attempt), age);
 }
 
-/// Follows a change of the living daemons.
-pub fn on_members(_daemon: &mut Daemon, _now: Now, _fx: &mut Effects) {}
-
 /// Acts on a message of another home.
 pub fn on_message(
-    _daemon: &mut Daemon,
-    _now: Now,
-    _fx: &mut Effects,
-    _from: &id::Daemon,
-    _message: Message,
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    from: &id::Daemon,
+    message: Message,
 ) {
+    handover::on_message(daemon, now, fx, from, message);
+}
+
+/// Follows a change of the configuration: warms connections of new servers and releases those of
+/// servers that have another home.
+pub fn on_config(daemon: &mut Daemon, now: Now, fx: &mut Effects) {
+    handover::on_config(daemon, now, fx);
 }
 
-/// Follows a change of the configuration or of the members: warms connections of new servers and
-/// releases those of servers that have another home.
-pub fn on_config(_daemon: &mut Daemon, _now: Now, _fx: &mut Effects) {}
+/// Follows a change of the members: their lives, and the homes that it moves.
+pub fn on_members(daemon: &mut Daemon, now: Now, fx: &mut Effects) {
+    let me = daemon.settings.daemon.clone();
+    let members = &daemon.member.members;
+    let gone = |name: id::Transaction, owner: &id::Daemon| {
+        members.get(owner).is_some_and(|member| {
+            member.incarnation != 0 && u128::from(member.incarnation) != transaction::life(name)
+        })
+    };
+    let open = daemon.home.transactions.iter();
+    let orphans = open.filter(|(name, held)| held.owner != me && gone(**name, &held.owner));
+    let orphans: Vec<_> = orphans.map(|(name, _)| *name).collect();
+    for name in orphans {
+        transaction::abandon(daemon, now, fx, name);
+    }
+    handover::recompute(daemon, now, fx);
+    let held: Vec<_> = daemon.home.pools.keys().cloned().collect();
+    for server in held {
+        task::pump(daemon, now, fx, &server);
+    }
+}
 
 /// Acts on the timer of a server's queue.
-pub fn on_queue_timer(_daemon: &mut Daemon, _now: Now, _fx: &mut Effects, _server: &id::Server) {}
+pub fn on_queue_timer(daemon: &mut Daemon, now: Now, fx: &mut Effects, server: &id::Server) {
+    let Some(pool) = daemon.home.pools.get_mut(server) else {
+        return;
+    };
+    let expired = pool.queue.expire(now.mono);
+    let wait = pool.service;
+    for request in expired {
+        let fault = Fault::new(Code::Deadline, "the deadline passed in the queue");
+        task::finish(daemon, now, fx, request, Outcome::NotRun(fault.retry_after(wait)));
+    }
+    end::expire(daemon, now, fx, server);
+    handover::claim(daemon, now, fx, server);
+    tend(daemon, now, fx, server);
+}
 
 /// Acts on the idle timer of a transaction.
 pub fn on_transaction_timer(
-    _daemon: &mut Daemon,
-    _now: Now,
-    _fx: &mut Effects,
-    _transaction: id::Transaction,
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    transaction: id::Transaction,
 ) {
+    transaction::on_timer(daemon, now, fx, transaction);
 }
 
-/// Rolls back what the entries of a lost daemon held open.
-pub fn on_lost(_daemon: &mut Daemon, _now: Now, _fx: &mut Effects, _lost: &id::Daemon) {}
+/// Rolls back what the entry of a lost daemon held open, and drops what it had waiting.
+pub fn on_lost(daemon: &mut Daemon, now: Now, fx: &mut Effects, lost: &id::Daemon) {
+    let open = daemon.home.transactions.iter().filter(|(_, held)| held.owner == *lost);
+    let open: Vec<_> = open.map(|(name, _)| *name).collect();
+    for name in open {
+        transaction::abandon(daemon, now, fx, name);
+    }
+    let theirs = daemon.home.tasks.iter().filter(|(_, task)| task.from == *lost);
+    let theirs: Vec<_> = theirs.map(|(request, task)| (*request, task.waits())).collect();
+    for (request, waits) in theirs {
+        if waits {
+            let fault = Fault::new(Code::HomeLost, "the stream to the entry broke");
+            task::finish(daemon, now, fx, request, Outcome::NotRun(fault));
+        } else {
+            abandon_running(daemon, request);
+        }
+    }
+    let held: Vec<_> = daemon.home.pools.keys().cloned().collect();
+    for server in held {
+        task::pump(daemon, now, fx, &server);
+    }
+}
+
+fn abandon_running(daemon: &mut Daemon, request: id::Request) {
+    let server = daemon.home.tasks.get(&request).map(|task| task.run.server.clone());
+    if let Some(pool) = server.and_then(|server| daemon.home.pools.get_mut(&server)) {
+        pool::abandon_work(pool, request);
+    }
+}
 
 /// Hands the servers over before the daemon stops.
-pub fn drain(_daemon: &mut Daemon, _now: Now, _fx: &mut Effects) {}
+pub fn drain(daemon: &mut Daemon, now: Now, fx: &mut Effects) {
+    handover::drain(daemon, now, fx);
+}
 
 /// Whether work is left that a planned stop has to wait for.
 #[must_use]
 pub fn busy(daemon: &Daemon) -> bool {
-    !daemon.home.tasks.is_empty() || !daemon.home.transactions.is_empty()
+    let leaving = daemon.home.pools.values().any(|pool| pool.leaving.is_some());
+    !daemon.home.tasks.is_empty() || !daemon.home.transactions.is_empty() || leaving
 }
--- /dev/null
+++ b/crates/gcl-core/src/home/pool.rs
@@ -0,0 +1,421 @@
+//! The connections to one server.
+//!
+//! A connection is counted from the moment it is asked for until it is known to be closed. The
+//! statements that run are at most the server's slots; a connection that an idle transaction holds
+//! takes no slot. Connections are kept warm up to a target that follows demand, so that the time to
+//! open one is seldom waited for.
+
+use super::queue::Queue;
+use crate::{effect::Effects, id, server::Call, state::State as Daemon, time::Now, timer};
+use indexmap::IndexMap;
+use std::{net::SocketAddr, time::Duration};
+
+/// Connections of a server that no home uses, for control.
+const CONTROL_RESERVE: usize = 2;
+/// Part of a server's connections that a new home starts on, as a divisor.
+const HANDOVER_PART: usize = 5;
+/// Part of the connections that open transactions may not take, as a divisor.
+const SINGLE_PART: usize = 4;
+/// Part of those connections that the transactions of one workspace may take, as a divisor.
+const TRANSACTION_SHARE: usize = 2;
+/// First wait after a connection could not be opened; it doubles up to the last.
+const BACKOFF: (Duration, Duration) = (Duration::from_millis(100), Duration::from_secs(2));
+/// How long a connection that was told to close is counted without a word from it.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time between two adjustments of the warm connections.
+pub const UPKEEP: Duration = Duration::from_secs(1);
+/// Shortest time that the queue's timer is armed for.
+const SHORTEST_WAIT: Duration = Duration::from_millis(1);
+/// Slot time assumed of a server that has run nothing.
+const FIRST_SERVICE: Duration = Duration::from_millis(1);
+/// Weight of a new sample in the moving averages, as a divisor.
+const AVERAGE: u32 = 8;
+
+/// A request that runs on a connection.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Work {
+    /// The request.
+    pub request: id::Request,
+    /// Its workspace.
+    pub workspace: id::Workspace,
+    /// The transaction that holds the connection.
+    pub transaction: Option<id::Transaction>,
+    /// When it started.
+    pub since: Duration,
+    /// When its caller gives up.
+    pub deadline: Duration,
+    /// Slot time charged to the workspace at the start.
+    pub charged: Duration,
+    /// Whether nobody will go on with a transaction that it leaves open.
+    pub abandoned: bool,
+}
+
+/// What a connection is used for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Use {
+    /// It is being opened.
+    Opening(Duration),
+    /// It waits for work.
+    Idle,
+    /// It runs a request.
+    Running(Work),
+    /// A transaction holds it between two statements.
+    Held(id::Transaction),
+    /// It is to be reset once a slot is free.
+    Abandoned,
+    /// It is being reset.
+    Resetting(Duration),
+    /// It was told to close.
+    Closing(Duration),
+}
+
+/// A connection.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Connection {
+    /// What it is used for.
+    pub usage: Use,
+    /// Whether a cancel request was sent for it, which may strike late.
+    pub tainted: bool,
+}
+
+/// The connections to one server.
+#[derive(Clone, Debug)]
+pub struct Pool {
+    /// All connections that count against the server's limit.
+    pub connections: IndexMap<id::Connection, Connection>,
+    /// Connections that wait for work, the last used at the end.
+    pub idle: Vec<id::Connection>,
+    /// The requests that wait for a slot.
+    pub queue: Queue,
+    /// Open transactions of each workspace.
+    pub held: IndexMap<id::Workspace, usize>,
+    /// Whether earlier homes have released their connections.
+    pub settled: bool,
+    /// Earlier homes that have not released their connections, and when they were last alive.
+    pub claims: IndexMap<id::Daemon, Duration>,
+    /// Daemons that asked for the release of this one's connections.
+    pub claimants: Vec<id::Daemon>,
+    /// Since when this daemon has been handing the server over.
+    pub leaving: Option<Duration>,
+    /// Moving average of the slot time of a statement.
+    pub service: Duration,
+    demand: f64,
+    peak: usize,
+    retry_at: Duration,
+    backoff: Duration,
+    upkeep: Duration,
+    timer: Option<Duration>,
+}
+
+impl Default for Pool {
+    fn default() -> Self {
+        Self {
+            connections: IndexMap::new(),
+            idle: Vec::new(),
+            queue: Queue::default(),
+            held: IndexMap::new(),
+            settled: false,
+            claims: IndexMap::new(),
+            claimants: Vec::new(),
+            leaving: None,
+            service: FIRST_SERVICE,
+            demand: 0.0,
+            peak: 0,
+            retry_at: Duration::ZERO,
+            backoff: BACKOFF.0,
+            upkeep: Duration::ZERO,
+            timer: None,
+        }
+    }
+}
+
+/// Connections that a new home of a server starts on.
+#[must_use]
+pub fn handover_reserve(connections: usize) -> usize {
+    (connections / HANDOVER_PART).max(1)
+}
+
+/// Connections that a home may have open; a settled home leaves room for its successor.
+#[must_use]
+pub fn capacity(connections: usize, settled: bool) -> usize {
+    let reserve = handover_reserve(connections);
+    let control = CONTROL_RESERVE.min(connections / SINGLE_PART);
+    if settled { connections.saturating_sub(control + reserve).max(1) } else { reserve }
+}
+
+impl Pool {
+    /// Statements and resets that the server executes.
+    #[must_use]
+    pub fn executing(&self) -> usize {
+        let busy = |usage: &Use| matches!(usage, Use::Running(_) | Use::Resetting(_));
+        self.connections.values().filter(|connection| busy(&connection.usage)).count()
+    }
+
+    fn opening(&self) -> usize {
+        let opening = |usage: &Use| matches!(usage, Use::Opening(_));
+        self.connections.values().filter(|connection| opening(&connection.usage)).count()
+    }
+
+    /// Open transactions.
+    #[must_use]
+    pub fn transactions(&self) -> usize {
+        self.held.values().sum()
+    }
+
+    /// Takes the next request of the queue and an idle connection for it; open transactions leave
+    /// some connections to single statements, and those of one workspace leave half to the others.
+    pub fn next(&mut self, capacity: usize) -> Option<(id::Request, Duration, id::Connection)> {
+        self.idle.last()?;
+        let spare = (capacity / SINGLE_PART).min(capacity.saturating_sub(1));
+        let most = capacity - spare;
+        let room = self.transactions() < most;
+        let held = &self.held;
+        let own = |name: &str| held.get(name).copied().unwrap_or_default();
+        let may_begin = |name: &str| room && own(name) < most.div_ceil(TRANSACTION_SHARE);
+        let (item, charged) = self.queue.pop(may_begin)?;
+        Some((item.request, charged, self.idle.pop()?))
+    }
+
+    /// Whether any connection will become free for a waiting request.
+    #[must_use]
+    pub fn has_hope(&self) -> bool {
+        let lost = |usage: &Use| matches!(usage, Use::Held(_) | Use::Closing(_));
+        self.connections.values().any(|connection| !lost(&connection.usage))
+    }
+
+    /// Notes that a connection could not be opened.
+    pub fn on_failed(&mut self, now: Now, connection: id::Connection) -> Duration {
+        self.connections.swap_remove(&connection);
+        self.retry_at = now.mono + self.backoff;
+        let wait = self.backoff;
+        self.backoff = (self.backoff * 2).min(BACKOFF.1);
+        wait
+    }
+
+    /// Notes that a connection is open.
+    pub fn on_opened(&mut self) {
+        self.backoff = BACKOFF.0;
+        self.retry_at = Duration::ZERO;
+    }
+
+    /// How long until another connection may be tried.
+    #[must_use]
+    pub fn blocked(&self, now: Now) -> Option<Duration> {
+        self.retry_at.checked_sub(now.mono).filter(|wait| !wait.is_zero())
+    }
+
+    /// Notes how long a statement held its slot.
+    pub fn served(&mut self, took: Duration) {
+        self.service = (self.service * (AVERAGE - 1) + took) / AVERAGE;
+    }
+
+    /// Time until a new request would have run, by the slot times seen.
+    #[must_use]
+    pub fn estimate(&self, workspace: &str, weight: u32, slots: usize) -> Duration {
+        let slots = u32::try_from(slots.max(1)).unwrap_or(u32::MAX);
+        let running = self.executing();
+        let before = self.queue.ahead(workspace, weight) + running;
+        let rounds = u32::try_from(before).unwrap_or(u32::MAX) / slots + 1;
+        self.service.saturating_mul(rounds)
+    }
+
+    /// Moves a connection to another use.
+    pub fn set(&mut self, connection: id::Connection, usage: Use) {
+        if let Some(known) = self.connections.get_mut(&connection) {
+            known.usage = usage;
+        }
+        self.note_peak();
+    }
+
+    fn note_peak(&mut self) {
+        let used = self.connections.len() - self.idle.len().min(self.connections.len());
+        self.peak = self.peak.max(used);
+    }
+
+    /// Puts a connection back to work, or closes it when it must not be used again.
+    pub fn put_back(&mut self, now: Now, connection: id::Connection) -> Option<Call> {
+        let known = self.connections.get(&connection)?;
+        if known.tainted {
+            return Some(self.close(now, connection));
+        }
+        self.set(connection, Use::Idle);
+        self.idle.push(connection);
+        None
+    }
+
+    /// Tells a connection to close.
+    pub fn close(&mut self, now: Now, connection: id::Connection) -> Call {
+        self.idle.retain(|idle| *idle != connection);
+        self.set(connection, Use::Closing(now.mono));
+        Call::Close(connection)
+    }
+
+    /// Forgets a connection that is closed.
+    pub fn forget(&mut self, connection: id::Connection) -> Option<Connection> {
+        self.idle.retain(|idle| *idle != connection);
+        self.connections.swap_remove(&connection)
+    }
+
+    fn forget_closing(&mut self, now: Now) {
+        self.connections.retain(|_, connection| match connection.usage {
+            Use::Closing(since) => now.mono < since + CLOSE_TIMEOUT,
+            _ => true,
+        });
+    }
+
+    fn target(&self, slots: usize, capacity: usize) -> usize {
+        #[expect(
+            clippy::cast_possible_truncation,
+            clippy::cast_sign_loss,
+            reason = "demand is a small positive number of connections"
+        )]
+        let demand = self.demand.ceil() as usize;
+        demand.max(slots).min(capacity)
+    }
+}
+
+/// Opens the connections that waiting requests lack.
+pub fn open_for_queue(
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    server: &id::Server,
+    (slots, capacity): (usize, usize),
+) {
+    let Some(pool) = daemon.home.pools.get(server) else {
+        return;
+    };
+    let free = slots.saturating_sub(pool.executing());
+    let wanted = pool.queue.len().min(free);
+    let lacking = wanted.saturating_sub(pool.idle.len() + pool.opening());
+    open(daemon, now, fx, server, lacking, capacity);
+}
+
+fn open(
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    server: &id::Server,
+    count: usize,
+    capacity: usize,
+) {
+    let Some(address) = daemon.config.snapshot.server(server).map(|config| config.address) else {
+        return;
+    };
+    let Some(pool) = daemon.home.pools.get_mut(server) else {
+        return;
+    };
+    if pool.blocked(now).is_some() {
+        return;
+    }
+    let room = capacity.saturating_sub(pool.connections.len());
+    for _ in 0..count.min(room) {
+        let connection = daemon.counters.connection();
+        open_one(pool, now, fx, server, connection, address);
+    }
+    pool.note_peak();
+}
+
+fn open_one(
+    pool: &mut Pool,
+    now: Now,
+    fx: &mut Effects,
+    server: &id::Server,
+    connection: id::Connection,
+    address: SocketAddr,
+) {
+    let usage = Use::Opening(now.mono);
+    pool.connections.insert(connection, Connection { usage, tainted: false });
+    fx.server(server, Call::Open { connection, address });
+}
+
+/// Follows demand: opens warm connections and closes those that are not needed.
+pub fn upkeep(daemon: &mut Daemon, now: Now, fx: &mut Effects, server: &id::Server) {
+    let limits = super::limits(daemon, server);
+    let leaving = super::handover::leaves(daemon, server);
+    let Some(pool) = daemon.home.pools.get_mut(server) else {
+        return;
+    };
+    pool.forget_closing(now);
+    let (slots, capacity) = limits;
+    if now.mono >= pool.upkeep {
+        pool.upkeep = now.mono + UPKEEP;
+        #[expect(clippy::cast_precision_loss, reason = "a pool has few connections")]
+        let peak = pool.peak as f64;
+        pool.demand = peak.max(pool.demand + (peak - pool.demand) / f64::from(AVERAGE));
+        pool.peak = 0;
+        pool.note_peak();
+        measure(pool, fx, server);
+    }
+    let target = if leaving { 0 } else { pool.target(slots, capacity) };
+    while pool.idle.len() > target.max(pool.queue.len())
+        || (pool.connections.len() > capacity && !pool.idle.is_empty())
+    {
+        let oldest = pool.idle.remove(0);
+        let call = pool.close(now, oldest);
+        fx.server(server, call);
+    }
+    let warm = pool.idle.len() + pool.opening() + pool.executing();
+    if !leaving {
+        open(daemon, now, fx, server, target.saturating_sub(warm), capacity);
+    }
+}
+
+#[expect(clippy::cast_precision_loss, reason = "a pool has few connections")]
+fn measure(pool: &Pool, fx: &mut Effects, server: &id::Server) {
+    fx.gauge("home_queue", server.clone(), pool.queue.len() as f64);
+    fx.gauge("home_connections", server.clone(), pool.connections.len() as f64);
+    fx.gauge("home_idle", server.clone(), pool.idle.len() as f64);
+    fx.gauge("home_slots_used", server.clone(), pool.executing() as f64);
+    fx.gauge("home_transactions", server.clone(), pool.transactions() as f64);
+}
+
+/// Arms the timer of a server's queue for the next thing that it has to do.
+pub fn arm(daemon: &mut Daemon, now: Now, fx: &mut Effects, server: &id::Server) {
+    let Some(pool) = daemon.home.pools.get_mut(server) else {
+        return;
+    };
+    let mut at = pool.upkeep.max(now.mono + SHORTEST_WAIT);
+    if let Some(deadline) = pool.queue.deadline() {
+        at = at.min(deadline.max(now.mono + SHORTEST_WAIT));
+    }
+    pool.timer = None;
+    arm_by(pool, now, fx, server, at);
+}
+
+/// Arms the timer of a server's queue unless it fires before `at` anyway.
+pub fn arm_by(pool: &mut Pool, now: Now, fx: &mut Effects, server: &id::Server, at: Duration) {
+    let at = pool.blocked(now).map_or(at, |wait| at.min(now.mono + wait));
+    if pool.timer.is_none_or(|armed| at < armed) {
+        pool.timer = Some(at);
+        fx.arm(timer::Key::Queue(server.clone()), at);
+    }
+}
+
+/// Starts resets of abandoned connections as far as the slots allow.
+pub fn reset_abandoned(
+    pool: &mut Pool,
+    now: Now,
+    fx: &mut Effects,
+    server: &id::Server,
+    slots: usize,
+) {
+    let free = slots.saturating_sub(pool.executing());
+    let abandoned = pool.connections.iter_mut();
+    let abandoned = abandoned.filter(|(_, known)| known.usage == Use::Abandoned);
+    for (connection, known) in abandoned.take(free) {
+        known.usage = Use::Resetting(now.mono);
+        fx.server(server, Call::Reset(*connection));
+    }
+}
+
+/// Notes that nobody will go on with a transaction that a running request may leave open.
+pub fn abandon_work(pool: &mut Pool, request: id::Request) {
+    for connection in pool.connections.values_mut() {
+        if let Use::Running(work) = &mut connection.usage
+            && work.request == request
+        {
+            work.abandoned = true;
+        }
+    }
+}
--- /dev/null
+++ b/crates/gcl-core/src/home/queue.rs
@@ -0,0 +1,299 @@
+//! The queue for a server's slots: deficit round robin over workspaces.
+//!
+//! A workspace's lane earns a quantum of slot time, times its weight, each time its turn comes, and
+//! pays the estimated time of each statement that it starts; [`Queue::settle`] corrects the estimate
+//! by what the statement took. Over any stretch in which two lanes wait, the slot time that they got
+//! for each unit of weight differs by at most one quantum and one statement a lane. Statements of
+//! open transactions go first, since they hold a connection and locks, and their lane pays for them.
+
+use crate::id;
+use indexmap::IndexMap;
+use std::{collections::VecDeque, time::Duration};
+
+/// Slot time that a lane of weight one earns at each turn.
+pub const QUANTUM: Duration = Duration::from_millis(1);
+/// Estimated slot time of a workspace's first statement.
+const FIRST_COST: Duration = Duration::from_millis(1);
+/// The least and the greatest slot time that a statement is charged.
+const COST_RANGE: (i64, i64) = (50, 60_000_000);
+/// One lane holds at most this part of the queue's bound.
+const LANE_SHARE: usize = 2;
+/// Weight of a new sample in the moving average of slot times, as a divisor.
+const AVERAGE: i64 = 8;
+
+/// A request that waits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Item {
+    /// The request.
+    pub request: id::Request,
+    /// When its caller gives up.
+    pub deadline: Duration,
+    /// Whether it opens a transaction and so keeps its connection.
+    pub begins: bool,
+}
+
+/// The requests of one workspace.
+#[derive(Clone, Debug)]
+struct Lane {
+    weight: i64,
+    credit: i64,
+    cost: i64,
+    visited: bool,
+    items: VecDeque<Item>,
+}
+
+impl Lane {
+    fn new(weight: u32) -> Self {
+        let cost = micros(FIRST_COST);
+        let weight = i64::from(weight.max(1));
+        Self { weight, credit: 0, cost, visited: false, items: VecDeque::new() }
+    }
+
+    fn quantum(&self) -> i64 {
+        micros(QUANTUM) * self.weight
+    }
+}
+
+/// What became of a request that was pushed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Pushed {
+    /// It waits.
+    Queued,
+    /// It waits, and the newest request of the longest lane made room.
+    Displaced(id::Request),
+    /// There is no room for it.
+    Full,
+}
+
+/// A bounded queue, fair among workspaces.
+#[derive(Clone, Debug, Default)]
+pub struct Queue {
+    first: VecDeque<(id::Workspace, u32, Item)>,
+    lanes: IndexMap<id::Workspace, Lane>,
+    ring: VecDeque<id::Workspace>,
+    len: usize,
+}
+
+impl Queue {
+    /// Requests that wait.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.len + self.first.len()
+    }
+
+    /// Whether none waits.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Adds a statement of an open transaction, ahead of all others.
+    pub fn push_first(&mut self, workspace: &id::Workspace, weight: u32, item: Item) {
+        self.first.push_back((workspace.clone(), weight, item));
+    }
+
+    /// Adds a request of a workspace; at most `bound` wait.
+    pub fn push(
+        &mut self,
+        workspace: &id::Workspace,
+        weight: u32,
+        item: Item,
+        bound: usize,
+    ) -> Pushed {
+        let own = self.lanes.get(workspace).map_or(0, |lane| lane.items.len());
+        if own >= (bound / LANE_SHARE).max(1) {
+            return Pushed::Full;
+        }
+        let displaced = if self.len >= bound {
+            let Some(request) = self.displace(own) else {
+                return Pushed::Full;
+            };
+            Some(request)
+        } else {
+            None
+        };
+        let lane = self.lane(workspace, weight);
+        lane.items.push_back(item);
+        self.len += 1;
+        displaced.map_or(Pushed::Queued, Pushed::Displaced)
+    }
+
+    fn displace(&mut self, own: usize) -> Option<id::Request> {
+        let longest = self.lanes.values_mut().max_by_key(|lane| lane.items.len())?;
+        if longest.items.len() <= own + 1 {
+            return None;
+        }
+        let item = longest.items.pop_back()?;
+        self.len -= 1;
+        Some(item.request)
+    }
+
+    fn lane(&mut self, workspace: &id::Workspace, weight: u32) -> &mut Lane {
+        if !self.lanes.contains_key(workspace) {
+            self.ring.push_back(workspace.clone());
+        }
+        let lane = self.lanes.entry(workspace.clone()).or_insert_with(|| Lane::new(weight));
+        lane.weight = i64::from(weight.max(1));
+        lane
+    }
+
+    /// Takes the next statement of an open transaction, with its charge.
+    pub fn pop_first(&mut self) -> Option<(Item, Duration)> {
+        let (workspace, weight, item) = self.first.pop_front()?;
+        let lane = self.lane(&workspace, weight);
+        lane.credit -= lane.cost;
+        Some((item, duration(lane.cost)))
+    }
+
+    /// Takes the next request whose turn it is, with its charge; `may_begin` tells whether a
+    /// workspace may open another transaction.
+    pub fn pop(&mut self, may_begin: impl Fn(&str) -> bool) -> Option<(Item, Duration)> {
+        let ready = |name: &id::Workspace, lane: &Lane| {
+            lane.items.front().is_some_and(|item| !item.begins || may_begin(name))
+        };
+        if !self.lanes.iter().any(|(name, lane)| ready(name, lane)) {
+            return None;
+        }
+        loop {
+            for _ in 0..self.ring.len() {
+                if let Some(taken) = self.visit(&ready) {
+                    return Some(taken);
+                }
+            }
+            self.skip_rounds(&ready);
+        }
+    }
+
+    /// Gives the front lane its turn, and moves on when it has nothing to start.
+    fn visit(
+        &mut self,
+        ready: &impl Fn(&id::Workspace, &Lane) -> bool,
+    ) -> Option<(Item, Duration)> {
+        let name = self.ring.front()?;
+        let lane = self.lanes.get_mut(name)?;
+        if !lane.visited {
+            lane.visited = true;
+            lane.credit += lane.quantum();
+        }
+        if ready(name, lane) && lane.credit >= lane.cost {
+            let item = lane.items.pop_front()?;
+            lane.credit -= lane.cost;
+            self.len -= 1;
+            return Some((item, duration(lane.cost)));
+        }
+        lane.visited = false;
+        if lane.items.is_empty() {
+            lane.credit = lane.credit.min(0);
+        }
+        let spent = lane.items.is_empty() && lane.credit >= 0;
+        let name = self.ring.pop_front()?;
+        if spent {
+            self.lanes.swap_remove(&name);
+        } else {
+            self.ring.push_back(name);
+        }
+        None
+    }
+
+    /// Pays out at once the rounds in which no lane could start anything.
+    fn skip_rounds(&mut self, ready: &impl Fn(&id::Workspace, &Lane) -> bool) {
+        let missing = |lane: &Lane| (lane.cost - lane.credit).max(0) / lane.quantum();
+        let waiting = self.lanes.iter().filter(|(name, lane)| ready(name, lane));
+        let rounds = waiting.map(|(_, lane)| missing(lane)).min().unwrap_or(0);
+        for lane in self.lanes.values_mut() {
+            lane.credit += lane.quantum() * rounds;
+        }
+    }
+
+    /// Corrects the charge of a statement by the slot time that it took.
+    pub fn settle(
+        &mut self,
+        workspace: &id::Workspace,
+        weight: u32,
+        charged: Duration,
+        took: Duration,
+    ) {
+        let took = micros(took).clamp(COST_RANGE.0, COST_RANGE.1);
+        let lane = self.lane(workspace, weight);
+        lane.credit += micros(charged) - took;
+        lane.cost += (took - lane.cost) / AVERAGE;
+        lane.cost = lane.cost.clamp(COST_RANGE.0, COST_RANGE.1);
+    }
+
+    /// Gives a charge back for a statement that did not start.
+    pub fn refund(&mut self, workspace: &id::Workspace, charged: Duration) {
+        if let Some(lane) = self.lanes.get_mut(workspace) {
+            lane.credit += micros(charged);
+        }
+    }
+
+    /// Statements that start before a new one of a workspace, at most.
+    #[must_use]
+    pub fn ahead(&self, workspace: &str, weight: u32) -> usize {
+        let own = self.lanes.get(workspace).map_or(0, |lane| lane.items.len());
+        let total: i64 = self.lanes.values().map(|lane| lane.weight).sum();
+        let weight = i64::from(weight.max(1));
+        let others = total - self.lanes.get(workspace).map_or(0, |lane| lane.weight);
+        let share = usize::try_from((others + weight) / weight).unwrap_or(usize::MAX);
+        self.first.len() + self.len.min((own + 1).saturating_mul(share))
+    }
+
+    /// Removes a request.
+    pub fn remove(&mut self, request: id::Request) -> bool {
+        let before = self.len();
+        self.first.retain(|(.., item)| item.request != request);
+        for lane in self.lanes.values_mut() {
+            lane.items.retain(|item| item.request != request);
+        }
+        self.len = self.lanes.values().map(|lane| lane.items.len()).sum();
+        self.len() < before
+    }
+
+    /// Removes the requests for which `test` holds.
+    pub fn take(&mut self, test: impl Fn(&Item) -> bool) -> Vec<id::Request> {
+        let mut taken = Vec::new();
+        for lane in self.lanes.values_mut() {
+            lane.items.retain(|item| {
+                let take = test(item);
+                taken.extend(take.then_some(item.request));
+                !take
+            });
+        }
+        self.len -= taken.len();
+        self.first.retain(|(.., item)| {
+            let take = test(item);
+            taken.extend(take.then_some(item.request));
+            !take
+        });
+        taken
+    }
+
+    /// Removes the requests whose deadline passed.
+    pub fn expire(&mut self, now: Duration) -> Vec<id::Request> {
+        self.take(|item| item.deadline <= now)
+    }
+
+    /// Removes all but the statements of open transactions.
+    pub fn clear(&mut self) -> Vec<id::Request> {
+        let first = std::mem::take(&mut self.first);
+        let taken = self.take(|_| true);
+        self.first = first;
+        taken
+    }
+
+    /// The earliest deadline.
+    #[must_use]
+    pub fn deadline(&self) -> Option<Duration> {
+        let first = self.first.iter().map(|(.., item)| item.deadline);
+        let lanes = self.lanes.values().flat_map(|lane| &lane.items);
+        first.chain(lanes.map(|item| item.deadline)).min()
+    }
+}
+
+fn micros(duration: Duration) -> i64 {
+    i64::try_from(duration.as_micros()).unwrap_or(i64::MAX)
+}
+
+const fn duration(micros: i64) -> Duration {
+    Duration::from_micros(micros.unsigned_abs())
+}
--- /dev/null
+++ b/crates/gcl-core/src/home/task.rs
@@ -0,0 +1,421 @@
+//! A request at its home: checks, queue, run, and the conditions of its answer.
+//!
+//! A write is answered when a majority holds its mark. A strong read is answered when the primary is
+//! proven not superseded after the read arrived and a majority holds what it saw; the proof is asked
+//! for while the read runs. A write that left no mark has shown data of the primary all the same, so
+//! it waits for such a proof too. What cannot be proven inside a transaction ends the transaction.
+
+use super::{
+    Proof, Stage, Task, fate, handover,
+    pool::{self, Use, Work},
+    queue::{Item, Pushed},
+    transaction,
+};
+use crate::{
+    code::{Code, Fault, Result},
+    effect::Effects,
+    group, id, member, peer,
+    run::{Access, Answer, Outcome, Run, Scope},
+    server::Call,
+    state::State as Daemon,
+    time::Now,
+};
+use std::time::Duration;
+
+/// Wait that is suggested when another daemon or server is to be tried.
+const ELSEWHERE: Duration = Duration::from_millis(20);
+
+impl Task {
+    /// Whether it has not started.
+    #[must_use]
+    pub const fn waits(&self) -> bool {
+        matches!(self.stage, Stage::Waiting | Stage::Queued)
+    }
+
+    /// The transaction that it is a statement of.
+    #[must_use]
+    pub const fn transaction(&self) -> Option<id::Transaction> {
+        match self.run.scope {
+            Scope::Within(name) => Some(name),
+            Scope::Single | Scope::Begin => None,
+        }
+    }
+}
+
+/// Takes a `Run` of an entry.
+pub fn arrive(daemon: &mut Daemon, now: Now, fx: &mut Effects, from: &id::Daemon, mut run: Run) {
+    match daemon.home.memory.repeat(&run) {
+        fate::Repeat::New => {}
+        fate::Repeat::Answered(answer) => {
+            return member::send(daemon, fx, from, peer::Message::Answer(answer));
+        }
+        fate::Repeat::Refused => return refuse_late(daemon, fx, from, &run),
+    }
+    if let Some(task) = daemon.home.tasks.get(&run.request) {
+        let late = run.attempt < task.run.attempt;
+        readdress(daemon, run.request, run.attempt, from);
+        if late {
+            refuse_late(daemon, fx, from, &run);
+        }
+        return;
+    }
+    if daemon.home.holding.contains(&run.request) {
+        let fault = Fault::new(Code::HomeLost, "an earlier try is not settled");
+        let answer = answer(daemon, &run, Outcome::NotRun(fault.retry_after(ELSEWHERE)));
+        return member::send(daemon, fx, from, peer::Message::Answer(Box::new(answer)));
+    }
+    match check(daemon, now, fx, from, &mut run) {
+        Ok(()) => accept(daemon, now, fx, from, run),
+        Err(fault) => {
+            let answer = answer(daemon, &run, Outcome::NotRun(fault));
+            send(daemon, now, fx, from, answer);
+        }
+    }
+}
+
+/// Refuses a copy that came after a later try or after its tombstone.
+fn refuse_late(daemon: &Daemon, fx: &mut Effects, from: &id::Daemon, run: &Run) {
+    let fault = Fault::new(Code::Tombstone, "a late copy of a request that was given up");
+    let answer = answer(daemon, run, Outcome::NotRun(fault));
+    member::send(daemon, fx, from, peer::Message::Answer(Box::new(answer)));
+}
+
+/// Directs the answer of a request that is under way; tells whether it is.
+pub fn readdress(
+    daemon: &mut Daemon,
+    request: id::Request,
+    attempt: u32,
+    from: &id::Daemon,
+) -> bool {
+    let Some(task) = daemon.home.tasks.get_mut(&request) else {
+        return false;
+    };
+    task.from.clone_from(from);
+    task.run.attempt = task.run.attempt.max(attempt);
+    true
+}
+
+fn check(
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    from: &id::Daemon,
+    run: &mut Run,
+) -> Result<()> {
+    if let Scope::Within(name) = run.scope {
+        return transaction::join(daemon, from, run, name);
+    }
+    handover::admits(daemon, now, fx, run)?;
+    match run.access {
+        Access::Write => group::writable(daemon, now, &run.database, &run.server).map(drop)?,
+        Access::Strong => leads(daemon, run, None)?,
+        Access::Replica { .. } => {}
+    }
+    let pool = daemon.home.pools.get(&run.server);
+    match pool.and_then(|pool| pool.blocked(now).filter(|_| !pool.has_hope())) {
+        Some(wait) => Err(unreachable_server().retry_after(wait)),
+        None => Ok(()),
+    }
+}
+
+fn unreachable_server() -> Fault {
+    Fault::new(Code::ServerLost, "the server accepts no connection now")
+}
+
+/// Whether the run's server is the newest primary known, at `term` if one is given.
+fn leads(daemon: &Daemon, run: &Run, term: Option<id::Term>) -> Result<()> {
+    group::leader(daemon, &run.database)
+        .filter(|leader| leader.server == run.server)
+        .filter(|leader| term.is_none_or(|term| leader.term == term))
+        .map(drop)
+        .ok_or_else(|| Fault::new(Code::NoPrimary, "the server is not the primary"))
+}
+
+fn accept(daemon: &mut Daemon, now: Now, fx: &mut Effects, from: &id::Daemon, run: Run) {
+    let (request, access) = (run.request, run.access);
+    let (database, server) = (run.database.clone(), run.server.clone());
+    let early = match access {
+        Access::Strong => true,
+        Access::Write => run.scope != Scope::Single && !run.ends,
+        Access::Replica { .. } => false,
+    };
+    let task = Task {
+        from: from.clone(),
+        arrived: now.mono,
+        deadline: now.mono + run.budget,
+        term: group::leader(daemon, &database).map(|leader| leader.term),
+        stage: Stage::Waiting,
+        proof: if early { Proof::Asked } else { Proof::Unasked },
+        held: false,
+        done: None,
+        run,
+    };
+    daemon.home.tasks.insert(request, task);
+    if early {
+        group::prove(daemon, now, fx, &database, request);
+    }
+    match access {
+        Access::Write | Access::Strong => enqueue(daemon, now, fx, request),
+        Access::Replica { .. } => group::ready(daemon, now, fx, &server, access, request),
+    }
+}
+
+/// Puts a request that may start into the queue of its server.
+pub fn enqueue(daemon: &mut Daemon, now: Now, fx: &mut Effects, request: id::Request) {
+    let waiting = daemon.home.tasks.get_mut(&request).filter(|task| task.stage == Stage::Waiting);
+    let Some(task) = waiting else { return };
+    let (server, deadline) = (task.run.server.clone(), task.deadline);
+    match push(daemon, now, request) {
+        Ok(displaced) => {
+            if let Some(other) = displaced {
+                let fault = Fault::new(Code::QueueFull, "other workspaces need the queue");
+                finish(daemon, now, fx, other, Outcome::NotRun(fault));
+            }
+            if let Some(pool) = daemon.home.pools.get_mut(&server) {
+                pool::arm_by(pool, now, fx, &server, deadline);
+            }
+            pump(daemon, now, fx, &server);
+        }
+        Err(fault) => finish(daemon, now, fx, request, Outcome::NotRun(fault)),
+    }
+}
+
+fn push(daemon: &mut Daemon, now: Now, request: id::Request) -> Result<Option<id::Request>> {
+    let Some(task) = daemon.home.tasks.get(&request) else {
+        return Ok(None);
+    };
+    let weight = super::weight(daemon, &task.run.workspace);
+    let (slots, _) = super::limits(daemon, &task.run.server);
+    let home = &mut daemon.home;
+    let Some(task) = home.tasks.get_mut(&request) else {
+        return Ok(None);
+    };
+    let pool = home.pools.get_mut(&task.run.server);
+    let pool = pool.filter(|pool| pool.leaving.is_none() || task.transaction().is_some());
+    let pool = pool.ok_or_else(|| {
+        Fault::new(Code::HomeLost, "the server has another home").retry_after(ELSEWHERE)
+    })?;
+    let begins = task.run.scope == Scope::Begin;
+    let item = Item { request, deadline: task.deadline, begins };
+    if task.transaction().is_some() {
+        task.stage = Stage::Queued;
+        pool.queue.push_first(&task.run.workspace, weight, item);
+        return Ok(None);
+    }
+    let wait = pool.estimate(&task.run.workspace, weight, slots);
+    let contended = pool.executing() >= slots || !pool.queue.is_empty();
+    if contended && now.mono + wait > task.deadline {
+        let detail = "the queue is longer than the time that is left";
+        return Err(Fault::new(Code::Deadline, detail).retry_after(wait));
+    }
+    let bound = daemon.settings.bounds.queue;
+    match pool.queue.push(&task.run.workspace, weight, item, bound) {
+        Pushed::Full => {
+            let fault = Fault::new(Code::QueueFull, "the queue for the server is full");
+            Err(fault.retry_after(wait))
+        }
+        Pushed::Queued => {
+            task.stage = Stage::Queued;
+            Ok(None)
+        }
+        Pushed::Displaced(other) => {
+            task.stage = Stage::Queued;
+            Ok(Some(other))
+        }
+    }
+}
+
+/// Starts what the server's slots and connections allow.
+pub fn pump(daemon: &mut Daemon, now: Now, fx: &mut Effects, server: &id::Server) {
+    let limits = super::limits(daemon, server);
+    if let Some(pool) = daemon.home.pools.get_mut(server) {
+        pool::reset_abandoned(pool, now, fx, server, limits.0);
+    }
+    while let Some((request, charged, connection)) = next(daemon, server, limits) {
+        start(daemon, now, fx, request, connection, charged);
+    }
+    pool::open_for_queue(daemon, now, fx, server, limits);
+    handover::progress(daemon, now, fx, server);
+}
+
+fn next(
+    daemon: &mut Daemon,
+    server: &id::Server,
+    (slots, capacity): (usize, usize),
+) -> Option<(id::Request, Duration, id::Connection)> {
+    let home = &mut daemon.home;
+    let pool = home.pools.get_mut(server)?;
+    if pool.executing() >= slots {
+        return None;
+    }
+    while let Some((item, charged)) = pool.queue.pop_first() {
+        let name = home.tasks.get(&item.request).and_then(Task::transaction);
+        let held = name.and_then(|name| home.transactions.get(&name));
+        if let Some(transaction) = held {
+            return Some((item.request, charged, transaction.connection));
+        }
+    }
+    pool.next(capacity)
+}
+
+fn start(
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    request: id::Request,
+    connection: id::Connection,
+    charged: Duration,
+) {
+    let Some(task) = daemon.home.tasks.get(&request) else {
+        return;
+    };
+    let server = task.run.server.clone();
+    match write_term(daemon, now, task) {
+        Ok(term) => run(daemon, now, fx, request, connection, (charged, term)),
+        Err(fault) => {
+            let (workspace, name) = (task.run.workspace.clone(), task.transaction());
+            if let Some(pool) = daemon.home.pools.get_mut(&server) {
+                pool.queue.refund(&workspace, charged);
+                if name.is_none() {
+                    pool.idle.push(connection);
+                }
+            }
+            let lost = fault.code == Code::TransactionLost;
+            finish(daemon, now, fx, request, Outcome::NotRun(fault));
+            if let Some(name) = name.filter(|_| lost) {
+                transaction::abandon(daemon, now, fx, name);
+            }
+        }
+    }
+}
+
+/// The term that a write is to run at; a transaction keeps the term that it began at.
+fn write_term(daemon: &Daemon, now: Now, task: &Task) -> Result<Option<id::Term>> {
+    if task.run.access != Access::Write {
+        return Ok(None);
+    }
+    let term = group::writable(daemon, now, &task.run.database, &task.run.server)?;
+    let held = task.transaction().and_then(|name| daemon.home.transactions.get(&name));
+    match held.and_then(|transaction| transaction.term) {
+        Some(begun) if begun != term => {
+            Err(Fault::new(Code::TransactionLost, "the primary changed; nothing was committed"))
+        }
+        _ => Ok(Some(term)),
+    }
+}
+
+fn run(
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    request: id::Request,
+    connection: id::Connection,
+    (charged, term): (Duration, Option<id::Term>),
+) {
+    let Some(task) = daemon.home.tasks.get_mut(&request) else {
+        return;
+    };
+    task.stage = Stage::Running(connection);
+    task.term = term.or(task.term);
+    let work = Work {
+        request,
+        workspace: task.run.workspace.clone(),
+        transaction: task.transaction(),
+        since: now.mono,
+        deadline: task.deadline,
+        charged,
+        abandoned: false,
+    };
+    let call = Call::Run {
+        connection,
+        request,
+        term,
+        read_only: task.run.access != Access::Write,
+        variables: task.run.variables.clone(),
+        idempotency: task.run.idempotency,
+        batch: task.run.batch.clone(),
+    };
+    fx.observe("home_wait", task.run.workspace.clone(), now.since(task.arrived));
+    fx.server(&task.run.server, call);
+    if let Some(pool) = daemon.home.pools.get_mut(&task.run.server) {
+        pool.set(connection, Use::Running(work));
+    }
+}
+
+/// Stops a statement that runs, if it does; its connection is not used again.
+pub fn cancel_running(daemon: &mut Daemon, fx: &mut Effects, request: id::Request) {
+    let Some(task) = daemon.home.tasks.get(&request) else {
+        return;
+    };
+    let Stage::Running(connection) = task.stage else {
+        return;
+    };
+    let pool = daemon.home.pools.get_mut(&task.run.server);
+    if let Some(known) = pool.and_then(|pool| pool.connections.get_mut(&connection)) {
+        known.tainted = true;
+        fx.server(&task.run.server, Call::Cancel(connection));
+    }
+}
+
+/// Cancels a request of an entry.
+pub fn on_cancel(
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    from: &id::Daemon,
+    request: id::Request,
+) {
+    let Some(task) = daemon.home.tasks.get(&request).filter(|task| task.from == *from) else {
+        return;
+    };
+    if task.waits() {
+        let fault = Fault::new(Code::Cancelled, "the caller cancelled the request");
+        finish(daemon, now, fx, request, Outcome::NotRun(fault));
+    } else {
+        cancel_running(daemon, fx, request);
+    }
+}
+
+/// Ends a request and answers its entry.
+pub fn finish(
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    request: id::Request,
+    outcome: Outcome,
+) {
+    let Some(task) = daemon.home.tasks.swap_remove(&request) else {
+        return;
+    };
+    if task.stage == Stage::Queued
+        && let Some(pool) = daemon.home.pools.get_mut(&task.run.server)
+    {
+        pool.queue.remove(request);
+    }
+    if let Some(name) = task.transaction().filter(|_| task.waits()) {
+        transaction::rest(daemon, now, fx, name);
+    }
+    let answer = answer(daemon, &task.run, outcome);
+    send(daemon, now, fx, &task.from, answer);
+}
+
+fn answer(daemon: &Daemon, run: &Run, outcome: Outcome) -> Answer {
+    Answer {
+        request: run.request,
+        attempt: run.attempt,
+        leader: group::leader(daemon, &run.database),
+        server: run.server.clone(),
+        outcome,
+    }
+}
+
+fn send(daemon: &mut Daemon, now: Now, fx: &mut Effects, to: &id::Daemon, answer: Answer) {
+    let kind = match &answer.outcome {
+        Outcome::Done { .. } => "done",
+        Outcome::NotRun(_) => "not_run",
+        Outcome::Unknown(_) => "unknown",
+    };
+    fx.count("home_answers", kind, 1);
+    daemon.home.memory.note(now.mono, &answer);
+    member::send(daemon, fx, to, peer::Message::Answer(Box::new(answer)));
+}
--- /dev/null
+++ b/crates/gcl-core/src/home/transaction.rs
@@ -0,0 +1,192 @@
+//! Transactions: each owns one connection from its first statement to its end.
+
+use super::{
+    Task,
+    pool::{self, Use},
+    task,
+};
+use crate::{
+    code::{Code, Fault, Result},
+    effect::Effects,
+    id,
+    run::{Access, Outcome, Run},
+    server::Call,
+    state::State as Daemon,
+    time::Now,
+    timer,
+};
+use std::time::Duration;
+
+/// Bits of a request id that count within one life of its entry.
+const COUNTER_BITS: u32 = 64;
+
+/// An open transaction.
+#[derive(Clone, Debug)]
+pub struct Transaction {
+    /// Its server.
+    pub server: id::Server,
+    /// Its connection.
+    pub connection: id::Connection,
+    /// The entry whose session opened it.
+    pub owner: id::Daemon,
+    /// The workspace.
+    pub workspace: id::Workspace,
+    /// What its statements need of the server.
+    pub access: Access,
+    /// The term that it writes at.
+    pub term: Option<id::Term>,
+    /// The statement that is under way.
+    pub busy: Option<id::Request>,
+}
+
+/// The life of the entry that counted a request.
+#[must_use]
+pub const fn life(request: id::Request) -> u128 {
+    request >> COUNTER_BITS
+}
+
+/// Takes a statement into its transaction.
+///
+/// # Errors
+/// [`Code::TransactionLost`] when it is gone or not the sender's, [`Code::Protocol`] while another
+/// statement of it is under way.
+pub fn join(
+    daemon: &mut Daemon,
+    from: &id::Daemon,
+    run: &mut Run,
+    name: id::Transaction,
+) -> Result<()> {
+    let lost = || Fault::new(Code::TransactionLost, "the transaction is gone");
+    let transaction = daemon.home.transactions.get_mut(&name).ok_or_else(lost)?;
+    let owned = transaction.owner == *from
+        && transaction.workspace == run.workspace
+        && transaction.server == run.server
+        && life(run.request) == life(name);
+    if !owned {
+        return Err(Fault::new(
+            Code::TransactionLost,
+            "the transaction belongs to another session",
+        ));
+    }
+    if transaction.busy.is_some() {
+        return Err(Fault::new(Code::Protocol, "a statement of the transaction is under way"));
+    }
+    transaction.busy = Some(run.request);
+    let both_aged = matches!(
+        (transaction.access, run.access),
+        (Access::Replica { .. }, Access::Replica { .. })
+    );
+    if !both_aged {
+        run.access = transaction.access;
+    }
+    Ok(())
+}
+
+/// Opens a transaction on the connection that its first statement ran on.
+pub fn open(daemon: &mut Daemon, name: id::Transaction, transaction: Transaction) {
+    if let Some(pool) = daemon.home.pools.get_mut(&transaction.server) {
+        *pool.held.entry(transaction.workspace.clone()).or_default() += 1;
+    }
+    daemon.home.transactions.insert(name, transaction);
+}
+
+/// Forgets a transaction and gives what it was.
+pub fn forget(daemon: &mut Daemon, fx: &mut Effects, name: id::Transaction) -> Option<Transaction> {
+    let transaction = daemon.home.transactions.swap_remove(&name)?;
+    fx.cancel(timer::Key::Transaction(name));
+    if let Some(pool) = daemon.home.pools.get_mut(&transaction.server)
+        && let Some(held) = pool.held.get_mut(&transaction.workspace)
+    {
+        *held -= 1;
+        if *held == 0 {
+            pool.held.swap_remove(&transaction.workspace);
+        }
+    }
+    Some(transaction)
+}
+
+/// Lets a transaction wait for its next statement.
+pub fn rest(daemon: &mut Daemon, now: Now, fx: &mut Effects, name: id::Transaction) {
+    let idle = Duration::from_millis(daemon.settings.bounds.transaction_idle_ms);
+    if let Some(transaction) = daemon.home.transactions.get_mut(&name) {
+        transaction.busy = None;
+        fx.arm(timer::Key::Transaction(name), now.mono + idle);
+    }
+}
+
+/// Ends a transaction that nobody will go on with: an idle connection is reset as soon as a slot is
+/// free, one with a statement in flight is cancelled and later closed.
+pub fn abandon(daemon: &mut Daemon, now: Now, fx: &mut Effects, name: id::Transaction) {
+    let Some(transaction) = forget(daemon, fx, name) else {
+        return;
+    };
+    let (server, connection) = (transaction.server, transaction.connection);
+    let Some(pool) = daemon.home.pools.get_mut(&server) else {
+        return;
+    };
+    let known = pool.connections.get_mut(&connection);
+    match known.map(|known| (&mut known.usage, &mut known.tainted)) {
+        Some((Use::Running(work), tainted)) => {
+            work.abandoned = true;
+            *tainted = true;
+            fx.server(&server, Call::Cancel(connection));
+        }
+        Some((usage @ Use::Held(_), _)) => {
+            *usage = Use::Abandoned;
+        }
+        _ => {}
+    }
+    if let Some(request) = transaction.busy.filter(|_| daemon.home.pools.contains_key(&server)) {
+        drop_waiting(daemon, now, fx, request);
+    }
+}
+
+/// Refuses a statement of an abandoned transaction that has not started.
+fn drop_waiting(daemon: &mut Daemon, now: Now, fx: &mut Effects, request: id::Request) {
+    let waits = daemon.home.tasks.get(&request).is_some_and(Task::waits);
+    if waits {
+        let fault = Fault::new(Code::TransactionLost, "the transaction was rolled back");
+        task::finish(daemon, now, fx, request, Outcome::NotRun(fault));
+    }
+}
+
+/// Rolls back a transaction that has been idle too long.
+pub fn on_timer(daemon: &mut Daemon, now: Now, fx: &mut Effects, name: id::Transaction) {
+    let idle = daemon.home.transactions.get(&name).filter(|held| held.busy.is_none());
+    let Some(server) = idle.map(|transaction| transaction.server.clone()) else {
+        return;
+    };
+    fx.count("home_transactions_timed_out", server.clone(), 1);
+    abandon(daemon, now, fx, name);
+    task::pump(daemon, now, fx, &server);
+}
+
+/// Rolls back a transaction whose session ended, or stops its first statement.
+pub fn on_release(
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    from: &id::Daemon,
+    name: id::Transaction,
+) {
+    if let Some(transaction) = daemon.home.transactions.get(&name) {
+        if transaction.owner == *from {
+            let server = transaction.server.clone();
+            abandon(daemon, now, fx, name);
+            task::pump(daemon, now, fx, &server);
+        }
+        return;
+    }
+    let Some(task) = daemon.home.tasks.get(&name).filter(|task| task.from == *from) else {
+        return;
+    };
+    if task.waits() {
+        let fault = Fault::new(Code::Cancelled, "the session ended");
+        task::finish(daemon, now, fx, name, Outcome::NotRun(fault));
+        return;
+    }
+    let server = task.run.server.clone();
+    if let Some(pool) = daemon.home.pools.get_mut(&server) {
+        pool::abandon_work(pool, name);
+    }
+}
--- a/crates/gcl-core/src/request/mod.rs
+++ b/crates/gcl-core/src/request/mod.rs
@@ -31,7 +31,14 @@
     /// Rolls back and releases a transaction whose session ended.
     Release(id::Transaction),
     /// Asks a home what became of a request; a home that never started it refuses it from then on.
-    AskFate(id::Request),
+    AskFate {
+        /// The request.
+        request: id::Request,
+        /// The last try that was sent to this home.
+        attempt: u32,
+        /// Time since the first try was sent to this home.
+        age: Duration,
+    },
     /// Answers [`Message::AskFate`]; a request that has ended is answered by its `Answer` again.
     Fate {
         /// The request.
@@ -46,8 +53,10 @@
 pub enum Fate {
     /// It is queued or running; its answer will come.
     Running,
-    /// It was never started here, and can no longer be.
+    /// It was never started here, and the tries asked about can no longer be.
     NeverSeen,
+    /// The home does not remember so far back, or no longer has the answer: it may have run.
+    Forgotten,
 }
 
 /// A caller's request, as its session hands it in.
@@ -337,7 +346,9 @@
     match message {
         Message::Cancel(request) => home::on_cancel(daemon, now, fx, from, *request),
         Message::Release(transaction) => home::on_release(daemon, now, fx, from, *transaction),
-        Message::AskFate(request) => home::on_ask_fate(daemon, now, fx, from, *request),
+        Message::AskFate { request, attempt, age } => {
+            home::on_ask_fate(daemon, now, fx, from, (*request, *attempt), *age);
+        }
         Message::Fate { request, fate } => on_fate(daemon, now, fx, from, *request, *fate),
     }
 }
--- /dev/null
+++ b/crates/gcl-core/tests/core/home/pool.rs
@@ -0,0 +1,267 @@
+//! Whatever happens: limits hold, transactions do not mix, each request is answered once.
+
+use super::host::{Host, answered, run};
+use gcl_core::{
+    batch::Status,
+    event::Event,
+    home, id,
+    mark::Mark,
+    peer, request,
+    run::{Access, Outcome, Run, Scope},
+    server::{self, Call, Ended},
+};
+use indexmap::{IndexMap, IndexSet};
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngSeed},
+};
+
+const SLOTS: usize = 2;
+const CONNECTIONS: u32 = 8;
+
+/// Something that callers, servers or time do; numbers pick among what is there.
+#[derive(Clone, Debug)]
+enum Step {
+    Single(bool),
+    Begin,
+    Within { pick: usize, ends: bool },
+    Repeat(usize),
+    Open { pick: usize, fails: bool },
+    End { pick: usize, way: u8 },
+    Reset { pick: usize, clean: bool },
+    Closed(usize),
+    Cancel(usize),
+    Release(usize),
+    Lost,
+    Wait(u64),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        3 => any::<bool>().prop_map(Step::Single),
+        3 => Just(Step::Begin),
+        4 => (any::<usize>(), any::<bool>()).prop_map(|(pick, ends)| Step::Within { pick, ends }),
+        1 => any::<usize>().prop_map(Step::Repeat),
+        5 => (any::<usize>(), prop::bool::weighted(0.1))
+            .prop_map(|(pick, fails)| Step::Open { pick, fails }),
+        8 => (any::<usize>(), 0_u8..10).prop_map(|(pick, way)| Step::End { pick, way }),
+        2 => (any::<usize>(), any::<bool>()).prop_map(|(pick, clean)| Step::Reset { pick, clean }),
+        1 => any::<usize>().prop_map(Step::Closed),
+        1 => any::<usize>().prop_map(Step::Cancel),
+        1 => any::<usize>().prop_map(Step::Release),
+        1 => Just(Step::Lost),
+        2 => (1_u64..4_000).prop_map(Step::Wait),
+    ]
+}
+
+/// The server as it really is, and what callers have seen.
+#[derive(Default)]
+struct Model {
+    opening: IndexSet<id::Connection>,
+    open: IndexSet<id::Connection>,
+    running: IndexMap<id::Connection, Run>,
+    resetting: IndexSet<id::Connection>,
+    inside: IndexMap<id::Connection, id::Transaction>,
+    transactions: IndexMap<id::Transaction, id::Connection>,
+    requests: IndexMap<id::Request, Run>,
+    answers: IndexMap<id::Request, usize>,
+    busy: IndexSet<id::Transaction>,
+    next: u64,
+}
+
+fn pick<T: Clone>(items: impl ExactSizeIterator<Item = T>, n: usize) -> Option<T> {
+    let items: Vec<_> = items.collect();
+    (!items.is_empty()).then(|| items[n % items.len()].clone())
+}
+
+impl Model {
+    fn send(&mut self, host: &mut Host, scope: Scope, access: Access, ends: bool) {
+        self.next += 1;
+        let run = Run { ends, ..run(self.next, scope, access) };
+        self.requests.insert(run.request, run.clone());
+        host.run(run);
+    }
+
+    fn act(&mut self, host: &mut Host, step: &Step) {
+        match *step {
+            Step::Single(write) => {
+                let access = if write { Access::Write } else { Access::Strong };
+                self.send(host, Scope::Single, access, false);
+            }
+            Step::Begin => self.send(host, Scope::Begin, Access::Write, false),
+            Step::Within { pick: n, ends } => {
+                if let Some(name) = pick(self.transactions.keys().copied(), n)
+                    && self.busy.insert(name)
+                {
+                    self.send(host, Scope::Within(name), Access::Write, ends);
+                }
+            }
+            Step::Repeat(n) => {
+                if let Some(run) = pick(self.requests.values().cloned(), n) {
+                    host.run(run);
+                }
+            }
+            Step::Cancel(n) => {
+                if let Some(request) = pick(self.requests.keys().copied(), n) {
+                    host.request(request::Message::Cancel(request));
+                }
+            }
+            Step::Release(n) => {
+                if let Some(name) = pick(self.transactions.keys().copied(), n) {
+                    host.request(request::Message::Release(name));
+                }
+            }
+            Step::Lost => host.feed(Event::Peer(peer::Event::Lost("entry".into()))),
+            Step::Wait(ms) => host.advance(ms),
+            Step::Open { .. } | Step::End { .. } | Step::Reset { .. } | Step::Closed(_) => {
+                self.serve(host, step);
+            }
+        }
+    }
+
+    fn serve(&mut self, host: &mut Host, step: &Step) {
+        match *step {
+            Step::Open { pick: n, fails } => {
+                let Some(connection) = pick(self.opening.iter().copied(), n) else { return };
+                self.opening.swap_remove(&connection);
+                if fails {
+                    return host.server(server::Event::Failed { connection, full: true });
+                }
+                self.open.insert(connection);
+                host.server(server::Event::Opened(connection));
+            }
+            Step::End { pick: n, way } => {
+                let Some(connection) = pick(self.running.keys().copied(), n) else { return };
+                let run = self.running.swap_remove(&connection).expect("it was picked");
+                let ended = self.end(connection, &run, way);
+                host.end(connection, run.request, ended);
+            }
+            Step::Reset { pick: n, clean } => {
+                let Some(connection) = pick(self.resetting.iter().copied(), n) else { return };
+                self.resetting.swap_remove(&connection);
+                self.inside.swap_remove(&connection);
+                if !clean {
+                    self.open.swap_remove(&connection);
+                }
+                host.server(server::Event::Reset { connection, clean });
+            }
+            Step::Closed(n) => {
+                let Some(connection) = pick(self.open.iter().copied(), n) else { return };
+                self.close(connection);
+                host.server(server::Event::Closed(connection));
+            }
+            _ => {}
+        }
+    }
+
+    fn end(&mut self, connection: id::Connection, run: &Run, way: u8) -> Ended {
+        if way == 0 {
+            self.close(connection);
+            return Ended::Lost { sent: true };
+        }
+        let opens = run.scope == Scope::Begin || matches!(run.scope, Scope::Within(_)) && !run.ends;
+        if opens {
+            let name = self.inside.get(&connection).copied().unwrap_or(run.request);
+            self.inside.insert(connection, name);
+            return answered(Status::Open, None);
+        }
+        self.inside.swap_remove(&connection);
+        answered(Status::Idle, Some(Mark::new(3, 101)))
+    }
+
+    fn close(&mut self, connection: id::Connection) {
+        self.open.swap_remove(&connection);
+        self.opening.swap_remove(&connection);
+        self.running.swap_remove(&connection);
+        self.resetting.swap_remove(&connection);
+        self.inside.swap_remove(&connection);
+    }
+
+    /// Takes what the home did and checks it against the server's real state.
+    fn check(&mut self, host: &mut Host) {
+        for call in host.take_calls() {
+            match call {
+                Call::Open { connection, .. } => assert!(self.opening.insert(connection)),
+                Call::Run { connection, request, .. } => self.check_run(connection, request),
+                Call::Reset(connection) => {
+                    assert!(!self.running.contains_key(&connection), "reset during a statement");
+                    self.resetting.insert(connection);
+                }
+                Call::Close(connection) => self.close(connection),
+                Call::Cancel(_) | Call::Ask { .. } => {}
+            }
+        }
+        let all = self.open.len() + self.opening.len();
+        let most = home::pool::capacity(CONNECTIONS as usize, true);
+        assert!(all <= most, "{all} connections of {most}");
+        assert!(self.running.len() + self.resetting.len() <= SLOTS, "over the slots");
+        for answer in host.take_answers() {
+            let count = self.answers.entry(answer.request).or_default();
+            *count += 1;
+            let run = &self.requests[&answer.request];
+            self.note(run.scope, answer.request, &answer.outcome);
+        }
+    }
+
+    fn check_run(&mut self, connection: id::Connection, request: id::Request) {
+        let run = self.requests[&request].clone();
+        assert!(self.open.contains(&connection), "a statement on a closed connection");
+        assert!(!self.resetting.contains(&connection), "a statement during a reset");
+        let inside = self.inside.get(&connection).copied();
+        match run.scope {
+            Scope::Within(name) => assert_eq!(inside, Some(name), "transactions mix"),
+            Scope::Single | Scope::Begin => assert_eq!(inside, None, "transactions mix"),
+        }
+        assert!(self.running.insert(connection, run).is_none(), "two statements at once");
+        assert!(!self.answers.contains_key(&request), "a request runs after its answer");
+    }
+
+    fn note(&mut self, scope: Scope, request: id::Request, outcome: &Outcome) {
+        let open = matches!(outcome, Outcome::Done { status, .. } if *status != Status::Idle);
+        match scope {
+            Scope::Begin if open => {
+                self.transactions.insert(request, 0);
+            }
+            Scope::Within(name) => {
+                self.busy.swap_remove(&name);
+                if !open {
+                    self.transactions.swap_remove(&name);
+                }
+            }
+            _ => {}
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(Config {
+        cases: 400,
+        rng_seed: RngSeed::Fixed(0x9001),
+        failure_persistence: None,
+        ..Config::default()
+    })]
+
+    #[test]
+    fn whatever_happens(steps in prop::collection::vec(step(), 1..120)) {
+        let mut host = Host::new(u32::try_from(SLOTS).expect("a few"), CONNECTIONS);
+        let mut model = Model::default();
+        model.check(&mut host);
+        for step in steps {
+            model.act(&mut host, &step);
+            model.check(&mut host);
+        }
+        for _ in 0..30 {
+            for n in 0..4 {
+                model.act(&mut host, &Step::Open { pick: n, fails: false });
+                model.act(&mut host, &Step::End { pick: n, way: 1 });
+                model.act(&mut host, &Step::Reset { pick: n, clean: true });
+                model.check(&mut host);
+            }
+            host.advance(1_000);
+            model.check(&mut host);
+        }
+        for request in model.requests.keys() {
+            prop_assert!(model.answers.contains_key(request), "{request:x} has no answer");
+        }
+    }
+}
