--- a/crates/gcl-core/src/request/fate.rs
+++ b/crates/gcl-core/src/request/fate.rs
@@ -25,8 +25,10 @@
 pub enum Fate {
     /// It is queued or running; its answer will come.
     Running,
-    /// It was never started here, and can no longer be.
+    /// It was never started here, and the tries asked about can no longer be.
     NeverSeen,
+    /// The home does not remember so far back, or no longer has the answer: it may have run.
+    Forgotten,
 }
 
 /// Resolves what was sent to a daemon whose stream broke.
@@ -51,9 +53,10 @@
     }
     pending.stage = Stage::Asking;
     let home = pending.home.clone();
+    let (attempt, age) = (pending.attempt, now.since(pending.submitted));
     if member::lives(daemon, &home) {
         fx.arm(timer::Key::Retry(request), now.mono + ASK_AGAIN);
-        tell(daemon, fx, &home, Message::AskFate(request));
+        tell(daemon, fx, &home, Message::AskFate { request, attempt, age });
     } else {
         outcome::finish(daemon, now, fx, request, Outcome::Unknown(fault));
     }
@@ -84,6 +87,10 @@
             let fault = Fault::new(Code::HomeLost, "the request never reached its home");
             retry::after_refusal(daemon, now, fx, request, fault);
         }
+        Fate::Forgotten => {
+            let fault = Fault::new(Code::OutcomeUnknown, "the home no longer knows the request");
+            outcome::finish(daemon, now, fx, request, Outcome::Unknown(fault));
+        }
     }
 }
 
--- a/crates/gcl-core/src/request/mod.rs
+++ b/crates/gcl-core/src/request/mod.rs
@@ -46,7 +46,14 @@
     /// Rolls back and releases a transaction whose session ended.
     Release(id::Transaction),
     /// Asks a home what became of a request; a home that never started it refuses it from then on.
-    AskFate(id::Request),
+    AskFate {
+        /// The request.
+        request: id::Request,
+        /// The last try that was sent to this home.
+        attempt: u32,
+        /// Time since the first try was sent to this home.
+        age: Duration,
+    },
     /// Answers [`Message::AskFate`]; a request that has ended is answered by its `Answer` again.
     Fate {
         /// The request.
@@ -232,7 +239,9 @@
     match message {
         Message::Cancel(request) => home::on_cancel(daemon, now, fx, from, *request),
         Message::Release(transaction) => home::on_release(daemon, now, fx, from, *transaction),
-        Message::AskFate(request) => home::on_ask_fate(daemon, now, fx, from, *request),
+        Message::AskFate { request, attempt, age } => {
+            home::on_ask_fate(daemon, now, fx, from, (*request, *attempt), *age);
+        }
         Message::Fate { request, fate } => fate::on_fate(daemon, now, fx, from, *request, *fate),
     }
 }
--- a/crates/gcl-core/tests/core/request.rs
+++ b/crates/gcl-core/tests/core/request.rs
@@ -186,8 +186,10 @@
     let run = start(&mut state, submit(Class::Write));
     let effects = reduce(&mut state, at(1_010), Event::Peer(peer::Event::Lost(HOME.into())));
     let asked = effects.iter().any(|effect| {
-        let ask = request::Message::AskFate(run.request);
-        matches!(effect, Effect::Peer { message: peer::Message::Request(message), .. } if *message == ask)
+        let Effect::Peer { message: peer::Message::Request(message), .. } = effect else {
+            return false;
+        };
+        matches!(message, request::Message::AskFate { request, .. } if *request == run.request)
     });
     assert!(asked, "the home is asked for the fate");
     assert_eq!(sent(&effects), None, "the write is not sent again");
