--- a/crates/gcl-standin/tests/standin/database.rs
+++ b/crates/gcl-standin/tests/standin/database.rs
@@ -129,7 +129,7 @@
 async fn await_returns_when_the_mark_is_held() {
     let servers = group(2).await;
     servers[1].reached(|report| report.applied == Mark::new(1, 1)).await;
-    let lag = Lag { receive: Duration::from_millis(20), apply: Duration::from_secs(60) };
+    let lag = Lag { receive: Duration::from_millis(20), apply: Duration::from_mins(1) };
     servers[1].set_lag(lag);
     let client = connect(&servers[0], "").await;
     client.batch_execute("CREATE TABLE booking (id int8 PRIMARY KEY)").await.expect("ok");
