--- a/crates/gcl-standin/src/main.rs
+++ b/crates/gcl-standin/src/main.rs
@@ -1,6 +1,5 @@
 //! The `goldcrest-standin` program: its first word names the stand-in to run.
 
-<<<<<<< HEAD
 use eyre::{Result, bail};
 use gcl_standin::{database, platform};
 use std::{env, process::ExitCode};
@@ -12,25 +11,6 @@
 fn main() -> ExitCode {
     let arguments: Vec<String> = env::args().skip(1).collect();
     match run(&arguments) {
-=======
-use eyre::eyre;
-use std::process::ExitCode;
-
-const USAGE: &str = "Usage: goldcrest-standin database --settings FILE";
-
-#[tokio::main]
-async fn main() -> ExitCode {
-    let arguments: Vec<String> = std::env::args().skip(1).collect();
-    let done = match arguments.split_first() {
-        Some((name, rest)) if name == "database" => gcl_standin::database::command::run(rest).await,
-        Some((name, _)) if name == "--help" || name == "-h" => {
-            println!("{USAGE}");
-            Ok(())
-        }
-        _ => Err(eyre!("{USAGE}")),
-    };
-    match done {
->>>>>>> h/backend
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("{error:#}");
@@ -38,7 +18,6 @@
         }
     }
 }
-<<<<<<< HEAD
 
 fn run(arguments: &[String]) -> Result<()> {
     let Some((name, rest)) = arguments.split_first() else { bail!("{USAGE}") };
@@ -52,5 +31,3 @@
         _ => bail!("{USAGE}"),
     }
 }
-=======
->>>>>>> h/backend
