--- a/crates/gcl-standin/src/main.rs
+++ b/crates/gcl-standin/src/main.rs
@@ -1,22 +1,16 @@
 //! The `goldcrest-standin` program: its first word names the stand-in to run.
 
-use eyre::eyre;
-use std::process::ExitCode;
+use eyre::{Result, bail};
+use gcl_standin::{database, platform};
+use std::{env, process::ExitCode};
+use tokio::runtime::Runtime;
 
-const USAGE: &str = "Usage: goldcrest-standin database --settings FILE";
+const USAGE: &str = "Usage: goldcrest-standin database --settings FILE
+       goldcrest-standin platform [options]";
 
-#[tokio::main]
-async fn main() -> ExitCode {
-    let arguments: Vec<String> = std::env::args().skip(1).collect();
-    let done = match arguments.split_first() {
-        Some((name, rest)) if name == "database" => gcl_standin::database::command::run(rest).await,
-        Some((name, _)) if name == "--help" || name == "-h" => {
-            println!("{USAGE}");
-            Ok(())
-        }
-        _ => Err(eyre!("{USAGE}")),
-    };
-    match done {
+fn main() -> ExitCode {
+    let arguments: Vec<String> = env::args().skip(1).collect();
+    match run(&arguments) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("{error:#}");
@@ -24,3 +18,16 @@
         }
     }
 }
+
+fn run(arguments: &[String]) -> Result<()> {
+    let Some((name, rest)) = arguments.split_first() else { bail!("{USAGE}") };
+    match name.as_str() {
+        "database" => Runtime::new()?.block_on(database::command::run(rest)),
+        "platform" => platform::command::run(rest),
+        "--help" | "-h" => {
+            println!("{USAGE}");
+            Ok(())
+        }
+        _ => bail!("{USAGE}"),
+    }
+}
