--- a/crates/gcl-core/tests/core/home/answer.rs
+++ b/crates/gcl-core/tests/core/home/answer.rs
@@ -44,6 +44,18 @@
     assert_eq!(host.started(request_id(2)), Some(connection), "no reset lies between");
 }
 
+#[test_case(Some(Mark::new(3, 101)); "a commit")]
+#[test_case(None; "a write that changed nothing")]
+fn a_write_without_a_majority_is_unknown(mark: Option<Mark>) {
+    let mut host = Host::new(2, 20);
+    let connection = started(&mut host, 1, Scope::Single, Access::Write);
+    host.silent = true;
+    host.end(connection, request_id(1), answered(Status::Idle, mark));
+    assert!(host.take_answers().is_empty(), "nothing is acknowledged yet");
+    host.advance(20_000);
+    assert_eq!(code(&host.take_answers()[0].outcome), Some(Code::MajorityUnknown));
+}
+
 #[test_case(Access::Strong)]
 #[test_case(AGED)]
 fn a_read_that_writes_is_sent_back(access: Access) {
