--- /dev/null
+++ b/crates/gcl-core/src/config/follow.rs
@@ -0,0 +1,174 @@
+//! A relay's own contact with the store: one listing, one watch, and regular confirmations.
+//!
+//! A watch that breaks is opened again after the last revision seen; only a compacted one is
+//! replaced by a listing. An answer that shows an older revision than the one held is an old read
+//! and counts for nothing.
+
+use super::{apply, proof, snapshot::PREFIX};
+use crate::{
+    effect::Effects,
+    id,
+    state::State as Daemon,
+    store::{self, Failure, Op, Reply},
+    time::Now,
+};
+use std::time::Duration;
+
+/// Longest wait for an answer of the store.
+pub const TIMEOUT: Duration = Duration::from_secs(2);
+/// First wait after a failure.
+const BACKOFF: Duration = Duration::from_millis(500);
+/// Longest wait after a failure.
+const MAX_BACKOFF: Duration = Duration::from_secs(5);
+/// Most doublings of the wait.
+const MAX_DOUBLINGS: u32 = 4;
+/// Longest time that a watch may lag what the store confirmed.
+const STALL: Duration = Duration::from_secs(3);
+
+/// The calls in flight.
+#[derive(Clone, Debug, Default)]
+pub struct State {
+    listing: Option<(id::Call, Duration)>,
+    watch: Option<id::Call>,
+    confirming: Option<(id::Call, Duration)>,
+    compacted: bool,
+    failures: u32,
+    retry_at: Duration,
+}
+
+/// Opens what is missing, as the role asks.
+pub fn tick(daemon: &mut Daemon, now: Now, fx: &mut Effects) {
+    if !daemon.config.role.relay {
+        leave(daemon, fx);
+        return;
+    }
+    if proof::stalled(daemon, now, STALL) {
+        leave(daemon, fx);
+        daemon.config.follow.compacted = true;
+    }
+    let follow = &daemon.config.follow;
+    if now.mono < follow.retry_at {
+        return;
+    }
+    if follow.watch.is_some() {
+        confirm(daemon, now, fx);
+    } else if follow.listing.is_none() {
+        open(daemon, now, fx);
+    }
+}
+
+fn leave(daemon: &mut Daemon, fx: &mut Effects) {
+    if let Some(watch) = daemon.config.follow.watch.take() {
+        call(daemon, fx, Op::Unwatch(watch));
+    }
+    proof::forget(daemon);
+}
+
+fn open(daemon: &mut Daemon, now: Now, fx: &mut Effects) {
+    let revision = daemon.config.snapshot.revision;
+    if revision == 0 || daemon.config.follow.compacted {
+        let call = call(daemon, fx, Op::List(PREFIX.into()));
+        daemon.config.follow.listing = Some((call, now.mono));
+    } else {
+        watch(daemon, now, fx);
+    }
+}
+
+fn watch(daemon: &mut Daemon, now: Now, fx: &mut Effects) {
+    let from = daemon.config.snapshot.revision + 1;
+    let call = call(daemon, fx, Op::Watch { prefix: PREFIX.into(), from });
+    daemon.config.follow.watch = Some(call);
+    confirm(daemon, now, fx);
+}
+
+/// Asks the store for its revision, which the watch then has to reach.
+fn confirm(daemon: &mut Daemon, now: Now, fx: &mut Effects) {
+    if daemon.config.follow.confirming.is_none() {
+        let call = call(daemon, fx, Op::Get(PREFIX.into()));
+        daemon.config.follow.confirming = Some((call, now.mono));
+    }
+}
+
+fn call(daemon: &mut Daemon, fx: &mut Effects, op: Op) -> id::Call {
+    let call = daemon.counters.call();
+    fx.count("gcl_config_store_calls_total", "", 1);
+    fx.store(store::Call { call, op, timeout: TIMEOUT });
+    call
+}
+
+/// Acts on an event of the store; tells whether it was this module's.
+pub fn on_store(daemon: &mut Daemon, now: Now, fx: &mut Effects, event: &store::Event) -> bool {
+    let follow = &mut daemon.config.follow;
+    match event {
+        store::Event::Watched { call, changes, revision } => {
+            let mine = follow.watch == Some(*call);
+            if mine {
+                follow.failures = 0;
+                apply(daemon, now, fx, changes.clone(), *revision);
+            }
+            mine
+        }
+        store::Event::Answered { call, result } => on_answer(daemon, now, fx, *call, result),
+    }
+}
+
+fn on_answer(
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    call: id::Call,
+    result: &Result<Reply, Failure>,
+) -> bool {
+    let follow = &mut daemon.config.follow;
+    if let Some((_, sent)) = follow.listing.take_if(|(listing, _)| *listing == call) {
+        on_list(daemon, now, fx, sent, result);
+    } else if let Some((_, sent)) = follow.confirming.take_if(|(confirming, _)| *confirming == call)
+    {
+        on_confirm(daemon, now, sent, result);
+    } else if follow.watch.take_if(|watch| *watch == call).is_some() {
+        follow.compacted = *result == Err(Failure::Compacted);
+        back_off(daemon, now);
+    } else {
+        return false;
+    }
+    true
+}
+
+fn on_list(
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    sent: Duration,
+    result: &Result<Reply, Failure>,
+) {
+    match result {
+        Ok(Reply::List(entries, revision)) if *revision >= daemon.config.snapshot.revision => {
+            let changes = daemon.config.snapshot.difference(entries.clone(), *revision);
+            daemon.config.follow.compacted = false;
+            daemon.config.follow.failures = 0;
+            proof::on_direct(daemon, sent, *revision);
+            apply(daemon, now, fx, changes, *revision);
+            watch(daemon, now, fx);
+        }
+        _ => back_off(daemon, now),
+    }
+}
+
+fn on_confirm(daemon: &mut Daemon, now: Now, sent: Duration, result: &Result<Reply, Failure>) {
+    match result {
+        Ok(Reply::Value(_, revision)) if *revision >= daemon.config.applied => {
+            proof::on_direct(daemon, sent, *revision);
+        }
+        _ => back_off(daemon, now),
+    }
+}
+
+/// Waits longer after each failure, and differently in each daemon, so that relays do not return
+/// together.
+fn back_off(daemon: &mut Daemon, now: Now) {
+    let follow = &mut daemon.config.follow;
+    let wait = BACKOFF * 2_u32.pow(follow.failures.min(MAX_DOUBLINGS));
+    follow.failures += 1;
+    let wait = daemon.random.jitter(wait.min(MAX_BACKOFF));
+    daemon.config.follow.retry_at = now.mono + wait;
+}
--- a/crates/gcl-core/src/config/mod.rs
+++ b/crates/gcl-core/src/config/mod.rs
@@ -1,138 +1,181 @@
 //! The operators' configuration: its objects, and how they reach a daemon.
 //!
-//! The store's revision orders all changes; a daemon never applies a lower one.
+//! The store's revision orders all changes; a daemon never applies a lower one. A few relays of each
+//! failure domain follow the store ([`follow`]) and pass changes on along a tree ([`spread`],
+//! [`tree`]). Each daemon knows since when nothing can have escaped it ([`proof`]).
 
+pub mod document;
+pub mod follow;
 pub mod object;
+pub mod placement;
+pub mod proof;
+pub mod selector;
 pub mod snapshot;
+pub mod spread;
+pub mod transition;
+pub mod tree;
+pub mod validate;
 
-use self::{
-    object::Object,
-    snapshot::{PREFIX, Snapshot},
+pub use spread::{Message, Tell};
+
+use self::{document::Document, snapshot::Snapshot};
+use crate::{
+    effect::Effects,
+    id,
+    record::{self, Line},
+    state::State as Daemon,
+    store,
+    time::Now,
+    timer,
 };
-use crate::{effect::Effects, id, state::State as Daemon, store, time::Now, timer};
-use serde::{Deserialize, Serialize};
-use std::time::Duration;
-
-/// Longest wait for an answer of the store.
-const STORE_TIMEOUT: Duration = Duration::from_secs(2);
-/// Wait before the store is asked again.
-const RETRY: Duration = Duration::from_millis(500);
-
-/// Messages that spread the configuration.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub enum Message {
-    /// Asks for changes after a revision.
-    Ask(id::Revision),
-}
+use compact_str::{CompactString, format_compact};
+use std::{collections::VecDeque, time::Duration};
+
+/// Mean time between two rounds of asking.
+const PERIOD: Duration = Duration::from_millis(800);
+/// Changes kept to bring others up to date.
+const LOG_CHANGES: usize = 1024;
+/// Most changes that get a line each in the record; more get one together.
+const RECORD_CHANGES: usize = 64;
 
 /// What a daemon holds of the configuration.
 #[derive(Clone, Debug, Default)]
 pub struct State {
     /// The newest configuration.
     pub snapshot: Snapshot,
-    /// When it was last confirmed as the newest, on this daemon's monotonic clock at send time.
+    /// The monotonic time up to which no change of the store can have escaped this daemon.
     pub confirmed: Option<Duration>,
-    listing: Option<(id::Call, Duration)>,
-    watch: Option<id::Call>,
+    /// The monotonic time up to which the store itself, asked by this daemon, confirmed that.
+    pub direct: Option<Duration>,
+    /// Grows with each change of the configuration that came into force here.
+    pub version: u64,
+    /// The revision of the last change of the configuration itself.
+    pub applied: id::Revision,
+    pub(crate) log: VecDeque<store::Change>,
+    pub(crate) floor: id::Revision,
+    pub(crate) role: tree::Role,
+    pub(crate) follow: follow::State,
+    pub(crate) spread: spread::State,
+    pub(crate) proof: proof::State,
+    pub(crate) settled: transition::Settled,
 }
 
-/// Starts to follow the store.
+/// Starts to follow the store, or those who do.
 pub fn start(daemon: &mut Daemon, now: Now, fx: &mut Effects) {
-    list(daemon, now, fx);
+    on_timer(daemon, now, fx);
 }
 
 /// Acts on a message of another daemon.
 pub fn on_message(
-    _daemon: &mut Daemon,
-    _now: Now,
-    _fx: &mut Effects,
-    _from: &id::Daemon,
-    _message: Message,
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    from: &id::Daemon,
+    message: Message,
 ) {
+    spread::on_message(daemon, now, fx, from, message);
 }
 
 /// Acts on the regular timer.
 pub fn on_timer(daemon: &mut Daemon, now: Now, fx: &mut Effects) {
-    if daemon.config.listing.is_none() && daemon.config.watch.is_none() {
-        list(daemon, now, fx);
-    }
+    daemon.config.role = tree::role(daemon);
+    follow::tick(daemon, now, fx);
+    spread::tick(daemon, now, fx);
+    measure(daemon, now, fx);
+    let wait = daemon.random.jitter(PERIOD);
+    fx.arm(timer::Key::Config, now.mono + wait);
 }
 
 /// Acts on an event of the store; tells whether it was this module's.
 pub fn on_store(daemon: &mut Daemon, now: Now, fx: &mut Effects, event: &store::Event) -> bool {
-    match event {
-        store::Event::Answered { call, result } => match daemon.config.listing {
-            Some((listing, sent)) if listing == *call => {
-                daemon.config.listing = None;
-                on_list(daemon, now, fx, sent, result);
-                true
-            }
-            _ if daemon.config.watch == Some(*call) => {
-                daemon.config.watch = None;
-                fx.arm(timer::Key::Config, now.mono + RETRY);
-                true
-            }
-            _ => false,
-        },
-        store::Event::Watched { call, changes, revision } if daemon.config.watch == Some(*call) => {
-            on_changes(daemon, now, changes, *revision);
-            true
-        }
-        store::Event::Watched { .. } => false,
-    }
+    follow::on_store(daemon, now, fx, event)
 }
 
-fn list(daemon: &mut Daemon, now: Now, fx: &mut Effects) {
-    let call = daemon.counters.call();
-    daemon.config.listing = Some((call, now.mono));
-    fx.store(store::Call { call, op: store::Op::List(PREFIX.into()), timeout: STORE_TIMEOUT });
+/// The time since the configuration was last known to be the newest, if it ever was.
+#[must_use]
+pub fn age(daemon: &Daemon, now: Now) -> Option<Duration> {
+    daemon.config.confirmed.map(|then| now.since(then))
+}
+
+fn measure(daemon: &Daemon, now: Now, fx: &mut Effects) {
+    let revision = f64::from(u32::try_from(daemon.config.snapshot.revision).unwrap_or(u32::MAX));
+    fx.gauge("gcl_config_revision", "", revision);
+    if let Some(age) = age(daemon, now) {
+        fx.gauge("gcl_config_age_seconds", "", age.as_secs_f64());
+    }
 }
 
-fn on_list(
+/// Applies changes in order, after which nothing up to `revision` is missed.
+pub(crate) fn apply(
     daemon: &mut Daemon,
     now: Now,
     fx: &mut Effects,
-    sent: Duration,
-    result: &Result<store::Reply, store::Failure>,
+    changes: Vec<store::Change>,
+    revision: id::Revision,
 ) {
-    let Ok(store::Reply::List(entries, revision)) = result else {
-        fx.arm(timer::Key::Config, now.mono + RETRY);
-        return;
-    };
-    if *revision >= daemon.config.snapshot.revision {
-        daemon.config.snapshot = read(entries, *revision);
-        daemon.config.confirmed = Some(sent);
+    let config = &mut daemon.config;
+    let first = config.snapshot.revision == 0;
+    let before = config.snapshot.revision;
+    let fresh: Vec<store::Change> =
+        changes.into_iter().filter(|change| config.snapshot.apply(change)).collect();
+    config.snapshot.revision = before.max(revision);
+    if first && config.snapshot.revision > 0 {
+        config.floor = config.snapshot.revision;
+        config.version += 1;
+    }
+    if !fresh.is_empty() {
+        config.version += 1;
+        let newest = fresh.iter().map(store::Change::revision).max();
+        config.applied = config.applied.max(newest.unwrap_or_default());
+        let old = std::mem::take(&mut config.snapshot.placements);
+        config.snapshot.index();
+        transition::settle(config, &old, &fresh, now);
+        note(daemon, fx, &fresh);
+        spread::push(daemon, now, fx, before, &fresh);
+        if !first {
+            remember(&mut daemon.config, fresh);
+        }
     }
-    let call = daemon.counters.call();
-    daemon.config.watch = Some(call);
-    let op = store::Op::Watch { prefix: PREFIX.into(), from: revision + 1 };
-    fx.store(store::Call { call, op, timeout: STORE_TIMEOUT });
+    proof::settle(daemon);
 }
 
-fn read(entries: &[store::Entry], revision: id::Revision) -> Snapshot {
-    let mut snapshot = Snapshot { revision, ..Snapshot::default() };
-    for entry in entries {
-        if let Ok(object) = serde_json::from_slice::<Object>(&entry.value) {
-            snapshot.put(entry.revision, object);
+fn remember(config: &mut State, changes: Vec<store::Change>) {
+    config.log.extend(changes);
+    while config.log.len() > LOG_CHANGES {
+        if let Some(change) = config.log.pop_front() {
+            config.floor = config.floor.max(change.revision());
         }
     }
-    snapshot.index();
-    snapshot
 }
 
-fn on_changes(daemon: &mut Daemon, now: Now, changes: &[store::Change], revision: id::Revision) {
-    let snapshot = &mut daemon.config.snapshot;
+fn note(daemon: &Daemon, fx: &mut Effects, changes: &[store::Change]) {
+    fx.count("gcl_config_changes_total", "", changes.len() as u64);
+    if changes.len() > RECORD_CHANGES {
+        let reason = format_compact!("{} objects came into force", changes.len());
+        record(fx, daemon.config.snapshot.revision, reason);
+        return;
+    }
     for change in changes {
-        match change {
-            store::Change::Put(entry) => {
-                if let Ok(object) = serde_json::from_slice::<Object>(&entry.value) {
-                    snapshot.put(entry.revision, object);
-                }
-            }
-            store::Change::Deleted { key, revision } => snapshot.delete(*revision, key),
+        record(fx, change.revision(), summary(change));
+    }
+}
+
+fn record(fx: &mut Effects, revision: id::Revision, reason: CompactString) {
+    fx.record(Line { revision: Some(revision), reason, ..Line::new(record::Kind::Config) });
+}
+
+fn summary(change: &store::Change) -> CompactString {
+    match change {
+        store::Change::Put(entry) if entry.key == snapshot::GUARD => {
+            CompactString::const_new("route keys may have moved")
+        }
+        store::Change::Put(entry) => {
+            let Some(document) = Document::read(&entry.value) else {
+                return format_compact!("{} is no object", entry.key);
+            };
+            let verb = if document.removed { "removed" } else { "in force" };
+            format_compact!("{} {verb} by change '{}'", entry.key, document.change)
         }
+        store::Change::Deleted { key, .. } => format_compact!("{key} deleted"),
     }
-    snapshot.revision = snapshot.revision.max(revision);
-    snapshot.index();
-    daemon.config.confirmed = Some(now.mono);
 }
--- /dev/null
+++ b/crates/gcl-core/src/config/placement.rs
@@ -0,0 +1,182 @@
+//! Where the requests of one database service go, derived from rules, databases and workspaces.
+//!
+//! Two daemons that hold a placement of equal revision hold the same rules, databases and, where a
+//! rule selects by them, workspace labels; they place every request alike.
+
+use super::{
+    object::{Labels, Object, Phase, Rule},
+    selector::Selector,
+    snapshot::Snapshot,
+};
+use crate::{id, rendezvous};
+use indexmap::IndexMap;
+use std::{cmp::Reverse, time::Duration};
+
+/// A database with its rendezvous hash.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Node {
+    /// Its name.
+    pub database: id::Database,
+    hash: u64,
+}
+
+/// A set of databases among which route keys are spread.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Set {
+    nodes: Vec<Node>,
+}
+
+impl Set {
+    fn of(snapshot: &Snapshot, service: &str, selector: &Selector) -> Self {
+        let databases = snapshot.databases.values().map(|database| &database.value);
+        let chosen = databases
+            .filter(|database| database.service == service && selector.matches(&database.labels));
+        let mut nodes: Vec<Node> = chosen
+            .map(|database| Node {
+                database: database.name.clone(),
+                hash: rendezvous::node(&database.name),
+            })
+            .collect();
+        nodes.sort_unstable_by(|a, b| a.database.cmp(&b.database));
+        Self { nodes }
+    }
+
+    /// The database that owns a route key, by the key's hash.
+    #[must_use]
+    pub fn owner(&self, hash: u64) -> Option<&id::Database> {
+        let owner = self.nodes.iter().max_by_key(|node| rendezvous::weigh(hash, node.hash))?;
+        Some(&owner.database)
+    }
+
+    /// Whether a database is in the set.
+    #[must_use]
+    pub fn contains(&self, database: &str) -> bool {
+        self.nodes.iter().any(|node| node.database == database)
+    }
+
+    /// Whether no database is in the set.
+    #[must_use]
+    pub const fn is_empty(&self) -> bool {
+        self.nodes.is_empty()
+    }
+}
+
+/// A rule with its selectors read and its databases chosen.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Route {
+    /// The rule.
+    pub rule: id::Rule,
+    /// Higher goes first.
+    pub priority: i32,
+    /// Whom it admits.
+    pub workspaces: Selector,
+    /// Whether requests need no key.
+    pub open: bool,
+    /// Greatest age of data for reads that state none.
+    pub max_age: Duration,
+    /// Where requests go.
+    pub current: Set,
+    /// Where route keys are about to go; those that would move take no writes.
+    pub next: Option<Set>,
+}
+
+impl Route {
+    /// Whether writes of a route key, by its hash, are taken.
+    #[must_use]
+    pub fn writable(&self, hash: u64) -> bool {
+        let next = self.next.as_ref();
+        next.is_none_or(|next| next.owner(hash) == self.current.owner(hash))
+    }
+
+    /// Whether it admits a workspace; one that does not exist is admitted by open rules only.
+    #[must_use]
+    pub fn admits(&self, labels: Option<&Labels>) -> bool {
+        match labels {
+            Some(labels) => self.workspaces.matches(labels),
+            None => self.open && self.workspaces.matches(&Labels::default()),
+        }
+    }
+}
+
+/// Where the requests of one service go.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Placement {
+    /// The newest change of a rule or database of the service, or its removal.
+    pub revision: id::Revision,
+    /// Whether a rule selects workspaces by labels.
+    pub labelled: bool,
+    /// The routes in the order in which they are tried.
+    pub routes: Vec<Route>,
+}
+
+impl Placement {
+    /// The first route that admits a workspace, by its labels if it exists.
+    #[must_use]
+    pub fn route(&self, labels: Option<&Labels>) -> Option<&Route> {
+        self.routes.iter().find(|route| route.admits(labels))
+    }
+
+    /// The placements of all services.
+    #[must_use]
+    pub fn all(snapshot: &Snapshot) -> IndexMap<id::Service, Self> {
+        let mut all: IndexMap<id::Service, Self> = IndexMap::new();
+        for service in snapshot.services.keys() {
+            all.insert(service.clone(), Self::default());
+        }
+        for database in snapshot.databases.values() {
+            note(&mut all, &database.value.service, database.revision);
+        }
+        for rule in snapshot.rules.values() {
+            note(&mut all, &rule.value.service, rule.revision);
+            let route = route(snapshot, &rule.value);
+            if let (Some(route), Some(place)) = (route, all.get_mut(&rule.value.service)) {
+                place.labelled |= !route.workspaces.is_empty();
+                place.routes.push(route);
+            }
+        }
+        for removed in snapshot.removed.values() {
+            if let Some(service) = service_of(&removed.value) {
+                note(&mut all, service, removed.revision);
+            }
+        }
+        for place in all.values_mut() {
+            place.routes.sort_by_cached_key(|route| (Reverse(route.priority), route.rule.clone()));
+        }
+        all
+    }
+}
+
+fn note(all: &mut IndexMap<id::Service, Placement>, service: &str, revision: id::Revision) {
+    if let Some(place) = all.get_mut(service) {
+        place.revision = place.revision.max(revision);
+    }
+}
+
+fn service_of(object: &Object) -> Option<&str> {
+    match object {
+        Object::Database(database) => Some(&database.service),
+        Object::Rule(rule) => Some(&rule.service),
+        _ => None,
+    }
+}
+
+/// A rule whose selectors cannot be read admits nobody.
+fn route(snapshot: &Snapshot, rule: &Rule) -> Option<Route> {
+    let set = |text: &str| {
+        Selector::parse(text).ok().map(|chosen| Set::of(snapshot, &rule.service, &chosen))
+    };
+    let next = match (rule.phase, &rule.next) {
+        (Phase::Open, _) => None,
+        (Phase::Closing, Some(next)) => Some(set(next)?),
+        (Phase::Closing, None) => Some(Set::default()),
+    };
+    Some(Route {
+        rule: rule.name.clone(),
+        priority: rule.priority,
+        workspaces: Selector::parse(&rule.workspaces).ok()?,
+        open: rule.open,
+        max_age: Duration::from_millis(rule.max_age_ms),
+        current: set(&rule.databases)?,
+        next,
+    })
+}
--- /dev/null
+++ b/crates/gcl-core/src/config/selector.rs
@@ -0,0 +1,198 @@
+//! Selectors over labels: requirements joined by commas, all of which have to hold.
+//!
+//! `desk=altyn`, `desk!=altyn`, `desk in (altyn, dala)`, `desk notin (dala)`, `desk` and `!desk`.
+//! An object without the label satisfies `!=`, `notin` and `!desk` only. The empty selector holds
+//! for every object.
+
+use super::object::Labels;
+use compact_str::CompactString;
+use std::fmt;
+
+/// Longest selector in bytes.
+const MAX_BYTES: usize = 4096;
+
+/// What is wrong with a selector, and where.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Error {
+    /// The column, counted in characters from one.
+    pub column: usize,
+    /// What was expected there.
+    pub expected: &'static str,
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "column {}: expected {}", self.column, self.expected)
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// The outcome of a parse.
+pub type Result<T> = std::result::Result<T, Error>;
+
+/// What a requirement asks of a label.
+#[derive(Clone, Debug, PartialEq, Eq)]
+enum Test {
+    Exists,
+    Absent,
+    In(Vec<CompactString>),
+    NotIn(Vec<CompactString>),
+}
+
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Requirement {
+    label: CompactString,
+    test: Test,
+}
+
+/// Requirements that all have to hold.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Selector {
+    requirements: Vec<Requirement>,
+}
+
+impl Selector {
+    /// Reads a selector.
+    ///
+    /// # Errors
+    /// The first fault with its column.
+    pub fn parse(text: &str) -> Result<Self> {
+        let mut scanner = Scanner { text, position: 0 };
+        if text.len() > MAX_BYTES {
+            return Err(Error { column: MAX_BYTES, expected: "a selector of at most 4096 bytes" });
+        }
+        let mut requirements = Vec::new();
+        if scanner.peek().is_none() {
+            return Ok(Self { requirements });
+        }
+        loop {
+            requirements.push(scanner.requirement()?);
+            match scanner.peek() {
+                None => return Ok(Self { requirements }),
+                Some(',') => scanner.advance(),
+                Some(_) => return Err(scanner.error("a comma or the end")),
+            }
+        }
+    }
+
+    /// Whether it holds for every object.
+    #[must_use]
+    pub const fn is_empty(&self) -> bool {
+        self.requirements.is_empty()
+    }
+
+    /// Whether it holds for an object with these labels.
+    #[must_use]
+    pub fn matches(&self, labels: &Labels) -> bool {
+        self.requirements.iter().all(|requirement| requirement.holds(labels))
+    }
+}
+
+impl Requirement {
+    fn holds(&self, labels: &Labels) -> bool {
+        let value = labels.get(&self.label);
+        match &self.test {
+            Test::Exists => value.is_some(),
+            Test::Absent => value.is_none(),
+            Test::In(values) => value.is_some_and(|value| values.contains(value)),
+            Test::NotIn(values) => value.is_none_or(|value| !values.contains(value)),
+        }
+    }
+}
+
+struct Scanner<'a> {
+    text: &'a str,
+    position: usize,
+}
+
+impl Scanner<'_> {
+    /// The next character after white space, which is skipped.
+    fn peek(&mut self) -> Option<char> {
+        let rest = &self.text[self.position..];
+        self.position += rest.len() - rest.trim_start().len();
+        self.text[self.position..].chars().next()
+    }
+
+    fn advance(&mut self) {
+        let next = self.text[self.position..].chars().next();
+        self.position += next.map_or(0, char::len_utf8);
+    }
+
+    fn error(&self, expected: &'static str) -> Error {
+        Error { column: self.text[..self.position].chars().count() + 1, expected }
+    }
+
+    fn expect(&mut self, wanted: char, expected: &'static str) -> Result<()> {
+        if self.peek() != Some(wanted) {
+            return Err(self.error(expected));
+        }
+        self.advance();
+        Ok(())
+    }
+
+    fn word(&mut self, expected: &'static str) -> Result<CompactString> {
+        self.peek();
+        let rest = &self.text[self.position..];
+        let end = rest.find(|next| !is_word(next)).unwrap_or(rest.len());
+        if end == 0 {
+            return Err(self.error(expected));
+        }
+        self.position += end;
+        Ok(rest[..end].into())
+    }
+
+    fn requirement(&mut self) -> Result<Requirement> {
+        if self.peek() == Some('!') {
+            self.advance();
+            let label = self.word("a label")?;
+            return Ok(Requirement { label, test: Test::Absent });
+        }
+        let label = self.word("a label")?;
+        let test = self.test()?;
+        Ok(Requirement { label, test })
+    }
+
+    fn test(&mut self) -> Result<Test> {
+        match self.peek() {
+            None | Some(',') => Ok(Test::Exists),
+            Some('=') => {
+                self.advance();
+                Ok(Test::In(vec![self.word("a value")?]))
+            }
+            Some('!') => {
+                self.advance();
+                self.expect('=', "'=' after '!'")?;
+                Ok(Test::NotIn(vec![self.word("a value")?]))
+            }
+            Some(_) => self.set(),
+        }
+    }
+
+    fn set(&mut self) -> Result<Test> {
+        let start = self.position;
+        let operator = self.word("'=', '!=', 'in' or 'notin'")?;
+        let test: fn(Vec<CompactString>) -> Test = match operator.as_str() {
+            "in" => Test::In,
+            "notin" => Test::NotIn,
+            _ => {
+                self.position = start;
+                return Err(self.error("'=', '!=', 'in' or 'notin'"));
+            }
+        };
+        self.expect('(', "'('")?;
+        let mut values = vec![self.word("a value")?];
+        while self.peek() == Some(',') {
+            self.advance();
+            values.push(self.word("a value")?);
+        }
+        self.expect(')', "a comma or ')'")?;
+        Ok(test(values))
+    }
+}
+
+/// Whether a character may stand in a label or a value.
+#[must_use]
+pub fn is_word(character: char) -> bool {
+    character.is_alphanumeric() || matches!(character, '-' | '_' | '.' | '/')
+}
--- a/crates/gcl-core/src/config/snapshot.rs
+++ b/crates/gcl-core/src/config/snapshot.rs
@@ -1,7 +1,12 @@
 //! The configuration at one revision, indexed for decisions.
 
-use super::object::{Database, Domain, Key, Object, Rule, Server, Service, Token, Workspace};
-use crate::id;
+use super::{
+    document::Document,
+    object::{Database, Domain, Key, Labels, Object, Rule, Server, Service, Token, Workspace},
+    placement::Placement,
+};
+use crate::{id, store};
+use bytes::Bytes;
 use compact_str::{CompactString, format_compact};
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
@@ -9,6 +14,9 @@
 /// Prefix of every configuration key in the store.
 pub const PREFIX: &str = "gcl/config/";
 
+/// Key touched by every change that may move route keys, so that racing ones cannot both be made.
+pub const GUARD: &str = "gcl/config/guard";
+
 /// An object with the revision of its last change.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Versioned<T> {
@@ -39,9 +47,16 @@
     pub rules: IndexMap<id::Rule, Versioned<Rule>>,
     /// Operators' tokens by name.
     pub tokens: IndexMap<CompactString, Versioned<Token>>,
+    /// The revision of the last change that may have moved route keys.
+    pub guard: id::Revision,
+    /// Removed objects by store key, with the revision of the removal.
+    pub removed: IndexMap<CompactString, Versioned<Object>>,
     /// Servers of each database, derived.
     #[serde(skip)]
     pub groups: IndexMap<id::Database, Vec<id::Server>>,
+    /// Where requests of each service go, derived.
+    #[serde(skip)]
+    pub placements: IndexMap<id::Service, Placement>,
 }
 
 /// The store key of an object.
@@ -67,8 +82,13 @@
 }
 
 impl Snapshot {
-    /// Puts an object in at the revision of its change, unless a newer one is there.
+    /// Puts an object in at the revision of its change, unless a newer change is known.
     pub fn put(&mut self, revision: id::Revision, object: Object) {
+        let key = key_of(&object);
+        if self.revision_of(&key) > revision {
+            return;
+        }
+        self.removed.swap_remove(&key);
         match object {
             Object::Domain(value) => put(&mut self.domains, value.name.clone(), revision, value),
             Object::Service(value) => put(&mut self.services, value.name.clone(), revision, value),
@@ -85,25 +105,160 @@
         }
     }
 
-    /// Removes the object at a store key, unless it changed after `revision`.
+    /// Removes the object at a store key, unless a newer change is known.
     pub fn delete(&mut self, revision: id::Revision, key: &str) {
-        let Some((kind, name)) = key.strip_prefix(PREFIX).and_then(|rest| rest.split_once('/'))
-        else {
+        let Some(object) = self.object(key) else {
+            return;
+        };
+        self.remove(revision, object.value);
+    }
+
+    /// Notes that an object was removed, unless a newer change is known.
+    pub fn remove(&mut self, revision: id::Revision, object: Object) {
+        let key = key_of(&object);
+        if self.revision_of(&key) > revision {
             return;
+        }
+        let (kind, name) = identity(&object);
+        match kind {
+            "domain" => drop(self.domains.shift_remove(name)),
+            "service" => drop(self.services.shift_remove(name)),
+            "database" => drop(self.databases.shift_remove(name)),
+            "server" => drop(self.servers.shift_remove(name)),
+            "workspace" => drop(self.workspaces.shift_remove(name)),
+            "key" => drop(self.keys.shift_remove(name)),
+            "rule" => drop(self.rules.shift_remove(name)),
+            _ => drop(self.tokens.shift_remove(name)),
+        }
+        self.removed.insert(key, Versioned { revision, value: object });
+    }
+
+    /// Applies a change of the store; tells whether the configuration changed.
+    pub fn apply(&mut self, change: &store::Change) -> bool {
+        match change {
+            store::Change::Put(entry) if entry.key == GUARD => {
+                let newer = entry.revision > self.guard;
+                self.guard = self.guard.max(entry.revision);
+                newer
+            }
+            store::Change::Put(entry) => {
+                let Some(document) = Document::read(&entry.value) else {
+                    return false;
+                };
+                if key_of(&document.object) != entry.key
+                    || self.revision_of(&entry.key) >= entry.revision
+                {
+                    return false;
+                }
+                if document.removed {
+                    self.remove(entry.revision, document.object);
+                } else {
+                    self.put(entry.revision, document.object);
+                }
+                true
+            }
+            store::Change::Deleted { key, revision } => {
+                let known = self.object(key).is_some_and(|object| object.revision < *revision);
+                self.delete(*revision, key);
+                known
+            }
+        }
+    }
+
+    /// The object in force at a store key.
+    #[must_use]
+    pub fn object(&self, key: &str) -> Option<Versioned<Object>> {
+        let (kind, name) = key.strip_prefix(PREFIX)?.split_once('/')?;
+        match kind {
+            "domain" => lift(self.domains.get(name), Object::Domain),
+            "service" => lift(self.services.get(name), Object::Service),
+            "database" => lift(self.databases.get(name), Object::Database),
+            "server" => lift(self.servers.get(name), Object::Server),
+            "workspace" => lift(self.workspaces.get(name), Object::Workspace),
+            "key" => lift(self.keys.get(name), Object::Key),
+            "rule" => lift(self.rules.get(name), Object::Rule),
+            "token" => lift(self.tokens.get(name), Object::Token),
+            _ => None,
+        }
+    }
+
+    /// The revision of the last known change of a store key, zero for none.
+    #[must_use]
+    pub fn revision_of(&self, key: &str) -> id::Revision {
+        if key == GUARD {
+            return self.guard;
+        }
+        let removed = self.removed.get(key).map_or(0, |object| object.revision);
+        removed.max(self.revision_in_force(key))
+    }
+
+    fn revision_in_force(&self, key: &str) -> id::Revision {
+        let split = key.strip_prefix(PREFIX).and_then(|rest| rest.split_once('/'));
+        let Some((kind, name)) = split else {
+            return 0;
         };
         match kind {
-            "domain" => delete(&mut self.domains, revision, name),
-            "service" => delete(&mut self.services, revision, name),
-            "database" => delete(&mut self.databases, revision, name),
-            "server" => delete(&mut self.servers, revision, name),
-            "workspace" => delete(&mut self.workspaces, revision, name),
-            "key" => delete(&mut self.keys, revision, name),
-            "rule" => delete(&mut self.rules, revision, name),
-            "token" => delete(&mut self.tokens, revision, name),
-            _ => {}
+            "domain" => revision(&self.domains, name),
+            "service" => revision(&self.services, name),
+            "database" => revision(&self.databases, name),
+            "server" => revision(&self.servers, name),
+            "workspace" => revision(&self.workspaces, name),
+            "key" => revision(&self.keys, name),
+            "rule" => revision(&self.rules, name),
+            "token" => revision(&self.tokens, name),
+            _ => 0,
         }
     }
 
+    /// All objects in force, by kind and name as they came.
+    #[must_use]
+    pub fn objects(&self) -> Vec<Versioned<Object>> {
+        let mut all = Vec::new();
+        extend(&mut all, &self.domains, Object::Domain);
+        extend(&mut all, &self.services, Object::Service);
+        extend(&mut all, &self.databases, Object::Database);
+        extend(&mut all, &self.servers, Object::Server);
+        extend(&mut all, &self.workspaces, Object::Workspace);
+        extend(&mut all, &self.keys, Object::Key);
+        extend(&mut all, &self.rules, Object::Rule);
+        extend(&mut all, &self.tokens, Object::Token);
+        all
+    }
+
+    /// Everything as the store would list it, removals included.
+    #[must_use]
+    pub fn entries(&self) -> Vec<store::Entry> {
+        let present = self.objects().into_iter().map(|object| entry(object, false));
+        let removed = self.removed.values().map(|object| entry(object.clone(), true));
+        let guard = (self.guard > 0).then(|| store::Entry {
+            key: GUARD.into(),
+            value: Bytes::new(),
+            revision: self.guard,
+            lease: 0,
+        });
+        present.chain(removed).chain(guard).collect()
+    }
+
+    /// The changes that lead from here to a listing of the store at a revision.
+    #[must_use]
+    pub fn difference(
+        &self,
+        entries: Vec<store::Entry>,
+        revision: id::Revision,
+    ) -> Vec<store::Change> {
+        let listed: IndexMap<CompactString, id::Revision> =
+            entries.iter().map(|entry| (entry.key.clone(), entry.revision)).collect();
+        let gone = self.objects().into_iter().map(|object| key_of(&object.value));
+        let gone = gone.filter(|key| !listed.contains_key(key));
+        let mut changes: Vec<store::Change> =
+            gone.map(|key| store::Change::Deleted { key, revision }).collect();
+        let newer =
+            entries.into_iter().filter(|entry| self.revision_of(&entry.key) < entry.revision);
+        changes.extend(newer.map(store::Change::Put));
+        changes.sort_by_key(store::Change::revision);
+        changes
+    }
+
     /// Derives the indexes; call it after a series of changes.
     pub fn index(&mut self) {
         self.groups.clear();
@@ -114,6 +269,14 @@
         for group in self.groups.values_mut() {
             group.sort_unstable();
         }
+        self.placements = Placement::all(self);
+    }
+
+    /// The revision at which an object was removed, zero when none is known.
+    #[must_use]
+    pub fn removal(&self, kind: &str, name: &str) -> id::Revision {
+        let key = format_compact!("{PREFIX}{kind}/{name}");
+        self.removed.get(&key).map_or(0, |object| object.revision)
     }
 
     /// A server by name.
@@ -135,21 +298,60 @@
     }
 }
 
-fn put<T>(
-    map: &mut IndexMap<CompactString, Versioned<T>>,
-    name: CompactString,
-    revision: id::Revision,
-    value: T,
-) {
-    let newer = map.get(&name).is_some_and(|old| old.revision > revision);
-    if !newer {
-        map.insert(name, Versioned { revision, value });
+/// The labels of an object.
+#[must_use]
+pub const fn labels(object: &Object) -> &Labels {
+    match object {
+        Object::Domain(value) => &value.labels,
+        Object::Service(value) => &value.labels,
+        Object::Database(value) => &value.labels,
+        Object::Server(value) => &value.labels,
+        Object::Workspace(value) => &value.labels,
+        Object::Key(value) => &value.labels,
+        Object::Rule(value) => &value.labels,
+        Object::Token(value) => &value.labels,
     }
 }
 
-fn delete<T>(map: &mut IndexMap<CompactString, Versioned<T>>, revision: id::Revision, name: &str) {
-    let newer = map.get(name).is_some_and(|old| old.revision > revision);
-    if !newer {
-        map.shift_remove(name);
+/// The labels of an object, to be changed.
+#[must_use]
+pub const fn labels_mut(object: &mut Object) -> &mut Labels {
+    match object {
+        Object::Domain(value) => &mut value.labels,
+        Object::Service(value) => &mut value.labels,
+        Object::Database(value) => &mut value.labels,
+        Object::Server(value) => &mut value.labels,
+        Object::Workspace(value) => &mut value.labels,
+        Object::Key(value) => &mut value.labels,
+        Object::Rule(value) => &mut value.labels,
+        Object::Token(value) => &mut value.labels,
     }
 }
+
+type Map<T> = IndexMap<CompactString, Versioned<T>>;
+
+fn put<T>(map: &mut Map<T>, name: CompactString, revision: id::Revision, value: T) {
+    map.insert(name, Versioned { revision, value });
+}
+
+fn revision<T>(map: &Map<T>, name: &str) -> id::Revision {
+    map.get(name).map_or(0, |versioned| versioned.revision)
+}
+
+fn lift<T: Clone>(
+    versioned: Option<&Versioned<T>>,
+    kind: fn(T) -> Object,
+) -> Option<Versioned<Object>> {
+    let versioned = versioned?;
+    Some(Versioned { revision: versioned.revision, value: kind(versioned.value.clone()) })
+}
+
+fn extend<T: Clone>(all: &mut Vec<Versioned<Object>>, map: &Map<T>, kind: fn(T) -> Object) {
+    all.extend(map.values().filter_map(|versioned| lift(Some(versioned), kind)));
+}
+
+fn entry(object: Versioned<Object>, removed: bool) -> store::Entry {
+    let key = key_of(&object.value);
+    let document = Document { removed, ..Document::of(object.value) };
+    store::Entry { key, value: document.write(), revision: object.revision, lease: 0 }
+}
--- /dev/null
+++ b/crates/gcl-core/src/config/transition.rs
@@ -0,0 +1,219 @@
+//! Which changes of the rules may be made, and when, so that no route key is ever taken for writing
+//! in two databases.
+//!
+//! For a service and a workspace a configuration either is open on a set of databases, is closing
+//! (keys that move from one set to the next take no writes), or admits nothing. A daemon may work by
+//! an older configuration for a bounded time, the *settling time*. A step is allowed at once when no
+//! key can become writable elsewhere than where it was writable last; a step that opens keys in a
+//! new place is allowed only after the configuration that closed them has stood for that time.
+
+use super::{
+    State,
+    object::Labels,
+    placement::{Placement, Route, Set},
+    snapshot::{PREFIX, Snapshot},
+};
+use crate::{
+    code::{Code, Fault, Result},
+    id,
+    state::State as Daemon,
+    store,
+    time::Now,
+};
+use compact_str::format_compact;
+use indexmap::{IndexMap, IndexSet};
+use std::time::Duration;
+
+/// Added to the settling time for requests on their way and for the store's answers.
+const MARGIN: Duration = Duration::from_secs(3);
+
+/// Since when the placement of services and workspaces has stood.
+#[derive(Clone, Debug, Default)]
+pub struct Settled {
+    services: IndexMap<id::Service, Duration>,
+    workspaces: IndexMap<id::Workspace, Duration>,
+    /// The greatest offline time seen, in milliseconds.
+    offline_ms: u64,
+}
+
+/// Notes what a series of changes moved.
+pub(crate) fn settle(
+    config: &mut State,
+    old: &IndexMap<id::Service, Placement>,
+    changes: &[store::Change],
+    now: Now,
+) {
+    for (service, placement) in &config.snapshot.placements {
+        let stood = old.get(service).is_some_and(|old| old.routes == placement.routes);
+        if !stood {
+            config.settled.services.insert(service.clone(), now.mono);
+        }
+    }
+    let workspaces = config.snapshot.workspaces.values();
+    let offline_ms = workspaces.map(|workspace| workspace.value.offline_ms).max();
+    config.settled.offline_ms = config.settled.offline_ms.max(offline_ms.unwrap_or_default());
+    let prefix = format_compact!("{PREFIX}workspace/");
+    let keys = changes.iter().map(store::Change::key);
+    for workspace in keys.filter_map(|key| key.strip_prefix(prefix.as_str())) {
+        config.settled.workspaces.insert(workspace.into(), now.mono);
+    }
+}
+
+/// How long a service and workspace have to stand before keys may be opened elsewhere.
+fn left(daemon: &Daemon, now: Now, series: &Series, service: &str, workspace: &str) -> Duration {
+    if series.services.contains(service) || series.workspaces.contains(workspace) {
+        return settling_time(daemon);
+    }
+    let snapshot = &daemon.config.snapshot;
+    let removed = snapshot.removal("service", service) > 0;
+    let known = removed || snapshot.services.contains_key(service);
+    if !known {
+        return Duration::ZERO;
+    }
+    let settled = &daemon.config.settled;
+    let service = settled.services.get(service).copied().unwrap_or_default();
+    let workspace = settled.workspaces.get(workspace).copied().unwrap_or_default();
+    settling_time(daemon).saturating_sub(now.since(service.max(workspace)))
+}
+
+/// The time after which no daemon works by a configuration that was replaced.
+#[must_use]
+pub fn settling_time(daemon: &Daemon) -> Duration {
+    let bounds = &daemon.settings.bounds;
+    let own = bounds.freshness_ms + bounds.request_ms + daemon.config.settled.offline_ms;
+    Duration::from_millis(own) + MARGIN
+}
+
+/// What a series of steps has moved so far.
+#[derive(Clone, Debug, Default)]
+pub struct Series {
+    services: IndexSet<id::Service>,
+    workspaces: IndexSet<id::Workspace>,
+}
+
+/// Checks a step from a configuration to another, after the earlier steps of a series that starts
+/// from the configuration in force.
+///
+/// # Errors
+/// [`Code::RouteClosed`] with the time to wait, or with what has to be done first.
+pub fn check(
+    daemon: &Daemon,
+    now: Now,
+    series: &mut Series,
+    from: &Snapshot,
+    to: &Snapshot,
+) -> Result<()> {
+    let relabelled = relabelled(from, to);
+    for (service, new) in &to.placements {
+        let none = Placement::default();
+        let old = from.placements.get(service).unwrap_or(&none);
+        let same = old.routes == new.routes;
+        for case in cases(from, to, if same { &relabelled } else { &[] }, same) {
+            let left = left(daemon, now, series, service, case.workspace);
+            step(service, old, new, &case, left)?;
+        }
+        if !same {
+            series.services.insert(service.clone());
+        }
+    }
+    series.workspaces.extend(relabelled.into_iter().cloned());
+    Ok(())
+}
+
+/// A workspace before and after a step.
+struct Case<'a> {
+    workspace: &'a str,
+    before: Option<&'a Labels>,
+    after: Option<&'a Labels>,
+    /// Whether the workspace never existed before.
+    created: bool,
+}
+
+fn labels<'a>(snapshot: &'a Snapshot, name: &str) -> Option<&'a Labels> {
+    snapshot.workspaces.get(name).map(|workspace| &workspace.value.labels)
+}
+
+/// The workspaces whose labels differ, or that are in one of the configurations only.
+fn relabelled<'a>(from: &'a Snapshot, to: &'a Snapshot) -> Vec<&'a id::Workspace> {
+    let names = from.workspaces.keys();
+    let added = to.workspaces.keys().filter(|name| !from.workspaces.contains_key(*name));
+    names.chain(added).filter(|name| labels(from, name) != labels(to, name)).collect()
+}
+
+/// The workspaces whose requests may be placed differently; where the routes differ, all and one
+/// that does not exist.
+fn cases<'a>(
+    from: &'a Snapshot,
+    to: &'a Snapshot,
+    relabelled: &[&'a id::Workspace],
+    same: bool,
+) -> Vec<Case<'a>> {
+    let case = |name: &'a id::Workspace| Case {
+        workspace: name,
+        before: labels(from, name),
+        after: labels(to, name),
+        created: !from.workspaces.contains_key(name) && from.removal("workspace", name) == 0,
+    };
+    if same {
+        return relabelled.iter().copied().map(case).collect();
+    }
+    let added = to.workspaces.keys().filter(|name| !from.workspaces.contains_key(*name));
+    let nobody = Case { workspace: "", before: None, after: None, created: false };
+    from.workspaces.keys().chain(added).map(case).chain([nobody]).collect()
+}
+
+fn step(
+    service: &str,
+    old: &Placement,
+    new: &Placement,
+    case: &Case<'_>,
+    left: Duration,
+) -> Result<()> {
+    let old = old.route(case.before);
+    let new = new.route(case.after);
+    match verdict(old, new) {
+        Verdict::Now => Ok(()),
+        Verdict::Settled if case.created && old.is_none() => Ok(()),
+        Verdict::Settled if left.is_zero() => Ok(()),
+        Verdict::Settled => {
+            let detail = format_compact!(
+                "service {service}: the configuration before has to stand for {} ms more",
+                left.as_millis()
+            );
+            Err(Fault::new(Code::RouteClosed, detail).retry_after(left))
+        }
+        Verdict::Never => {
+            let detail = format_compact!(
+                "service {service}: route keys would move while they are written; set the rule's \
+                 phase to closing with the new databases as next, then open it there"
+            );
+            Err(Fault::new(Code::RouteClosed, detail))
+        }
+    }
+}
+
+enum Verdict {
+    Now,
+    Settled,
+    Never,
+}
+
+fn verdict(old: Option<&Route>, new: Option<&Route>) -> Verdict {
+    let Some(new) = new.filter(|route| !route.current.is_empty()) else {
+        return Verdict::Now;
+    };
+    let Some(old) = old.filter(|route| !route.current.is_empty()) else {
+        return Verdict::Settled;
+    };
+    if old.current == new.current {
+        // Keys are opened where they were written last, or closed; none moves.
+        return Verdict::Now;
+    }
+    let closed_for = |set: &Set| old.next.as_ref() == Some(set) || fully_closed(old);
+    if closed_for(&new.current) { Verdict::Settled } else { Verdict::Never }
+}
+
+/// Whether the route takes no writes of any key.
+fn fully_closed(route: &Route) -> bool {
+    route.next.as_ref().is_some_and(Set::is_empty)
+}
--- a/crates/gcl-core/src/key.rs
+++ b/crates/gcl-core/src/key.rs
@@ -3,10 +3,14 @@
 use crate::{
     caller::Secret,
     code::{Code, Fault, Result},
-    config::snapshot::Snapshot,
+    config::{self, snapshot::Snapshot},
     id,
+    state::State as Daemon,
+    time::Now,
 };
+use compact_str::format_compact;
 use sha2::{Digest, Sha256};
+use std::time::Duration;
 use subtle::ConstantTimeEq;
 
 /// The SHA-256 of a secret in hexadecimal.
@@ -40,3 +44,31 @@
     }
     Ok(key.name.clone())
 }
+
+/// When a request refused for a stale configuration is worth another try.
+const RETRY: Duration = Duration::from_secs(1);
+
+/// Checks that no withdrawal can have escaped this daemon for longer than its bound, or than the
+/// workspace's owner accepts.
+///
+/// # Errors
+/// [`Code::StaleConfiguration`].
+pub fn fresh(daemon: &Daemon, now: Now, workspace: &str) -> Result<()> {
+    let age = config::age(daemon, now);
+    let bound = Duration::from_millis(daemon.settings.bounds.freshness_ms);
+    let offline = daemon.config.snapshot.workspaces.get(workspace);
+    let offline = offline.map_or(0, |workspace| workspace.value.offline_ms);
+    let bound = bound + Duration::from_millis(offline);
+    match age {
+        Some(age) if age <= bound => Ok(()),
+        Some(age) => {
+            let age = age.as_millis();
+            let detail = format_compact!("the configuration was last confirmed {age} ms ago");
+            Err(Fault::new(Code::StaleConfiguration, detail).retry_after(RETRY))
+        }
+        None => {
+            let detail = "no configuration was confirmed since the start";
+            Err(Fault::new(Code::StaleConfiguration, detail).retry_after(RETRY))
+        }
+    }
+}
--- /dev/null
+++ b/crates/gcl-core/src/operation/mod.rs
@@ -0,0 +1,184 @@
+//! Operators' requests: reading and changing the configuration, and the state of the daemon.
+
+pub mod access;
+pub mod api;
+pub mod plan;
+mod view;
+mod wait;
+mod work;
+
+pub use work::on_announced;
+
+use self::{
+    api::{Apply, Delete, Done, Issue, Label, Report, Status},
+    plan::Plan,
+    wait::Waiting,
+    work::Work,
+};
+use crate::{
+    code::{Code, Fault, Result},
+    config::object::Role,
+    effect::Effects,
+    id,
+    operator::{Method, Request, Response},
+    record::{self, Line},
+    state::State as Daemon,
+    store,
+    time::Now,
+};
+use compact_str::{CompactString, format_compact};
+use indexmap::IndexMap;
+use serde::Serialize;
+
+/// Most operations under way at once.
+const MAX_OPERATIONS: usize = 64;
+/// Any role reads.
+const READERS: &[Role] = &[Role::Read, Role::Change, Role::Keys];
+
+/// Operations that wait for the store or for other daemons.
+#[derive(Clone, Debug, Default)]
+pub struct State {
+    work: IndexMap<id::Operation, Work>,
+    waiting: IndexMap<id::Operation, Waiting>,
+}
+
+/// Acts on an operator's request; the answer goes out by [`Effects::answer`].
+pub fn on_request(
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    operation: id::Operation,
+    request: &Request,
+) {
+    let result = match request.method {
+        Method::Get => on_get(daemon, now, fx, operation, request),
+        Method::Post => on_post(daemon, now, fx, operation, request),
+    };
+    match result {
+        Ok(Some(body)) => fx.answer(operation, Response::Json(body)),
+        Ok(None) => {}
+        Err(fault) => {
+            refuse(fx, request, &fault);
+            fx.answer(operation, Response::Error(fault));
+        }
+    }
+}
+
+fn on_get(
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    operation: id::Operation,
+    request: &Request,
+) -> Result<Option<String>> {
+    access::admit(daemon, &request.token, READERS)?;
+    let selector = parameter(request, "selector");
+    match request.path.as_str() {
+        "status" => view::status(daemon, now, selector).map(|body| Some(json(&body))),
+        "history" => Ok(Some(json(&view::history(daemon)))),
+        "config/wait" => wait::start(daemon, now, fx, operation, request).map(|()| None),
+        path => match path.strip_prefix("get/") {
+            Some(kind) => view::list(daemon, kind, selector).map(|body| Some(json(&body))),
+            None => Err(no_path(path)),
+        },
+    }
+}
+
+fn on_post(
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    operation: id::Operation,
+    request: &Request,
+) -> Result<Option<String>> {
+    // Refuses strangers before their body is read.
+    access::admit(daemon, &request.token, READERS)?;
+    let snapshot = &daemon.config.snapshot;
+    let body = &request.body;
+    let plan = match request.path.as_str() {
+        "apply" | "diff" => plan::apply(snapshot, plan::read::<Apply>(body)?)?,
+        "label" => plan::label(snapshot, plan::read::<Label>(body)?)?,
+        "delete" => plan::delete(snapshot, plan::read::<Delete>(body)?)?,
+        "key/issue" => plan::issue(snapshot, plan::read::<Issue>(body)?)?,
+        "key/withdraw" => plan::withdraw(snapshot, plan::read::<Delete>(body)?)?,
+        path => return Err(no_path(path)),
+    };
+    let dry = request.path == "diff" || parameter(request, "dry_run") == "true";
+    if dry {
+        return Ok(Some(json(&preview(daemon, now, plan))));
+    }
+    let operator = access::admit(daemon, &request.token, plan.roles())?;
+    if daemon.operation.work.len() >= MAX_OPERATIONS {
+        return Err(Fault::new(Code::TooManyConnections, "too many operations are under way"));
+    }
+    plan::check(daemon, now, &plan)?;
+    work::start(daemon, now, fx, operation, operator, plan);
+    Ok(None)
+}
+
+fn preview(daemon: &Daemon, now: Now, plan: Plan) -> Report {
+    let before = &daemon.config.snapshot;
+    let mut after = before.clone();
+    plan.steps.iter().for_each(|step| plan::perform(&mut after, step));
+    after.index();
+    let refusal = plan::check(daemon, now, &plan).err();
+    let results = plan.steps.into_iter().map(|step| {
+        let key = crate::config::snapshot::key_of(&step.object);
+        let theirs = before.object(&key).map(|held| held.value);
+        let ours = (!step.removed).then_some(step.object);
+        Done { key, status: Status::Planned, revision: step.expected, code: None, ours, theirs }
+    });
+    Report {
+        change: plan.change,
+        results: results.collect(),
+        moved: plan::moved(before, &after),
+        refusal,
+    }
+}
+
+fn no_path(path: &str) -> Fault {
+    Fault::new(Code::NotFound, format_compact!("no operation is called '{path}'"))
+}
+
+/// The value of a query parameter, empty without one.
+fn parameter<'a>(request: &'a Request, name: &str) -> &'a str {
+    let found = request.query.iter().find(|(key, _)| key == name);
+    found.map_or("", |(_, value)| value.as_str())
+}
+
+fn json(body: &impl Serialize) -> String {
+    serde_json::to_string(body).expect("answers are plain data with text keys")
+}
+
+fn refuse(fx: &mut Effects, request: &Request, fault: &Fault) {
+    fx.record(Line {
+        code: Some(fault.code),
+        reason: format_compact!("{}: {}", request.path, fault.detail),
+        ..Line::new(record::Kind::Operation)
+    });
+}
+
+/// Records what became of a change.
+fn record(fx: &mut Effects, operator: &CompactString, report: &Report) {
+    for done in &report.results {
+        let reason = format_compact!(
+            "{operator} change '{}': {} {:?}",
+            report.change,
+            done.key,
+            done.status
+        );
+        let revision = Some(done.revision);
+        fx.record(Line { revision, reason, ..Line::new(record::Kind::Operation) });
+    }
+}
+
+/// Acts on an event of the store; tells whether it was this module's.
+pub fn on_store(daemon: &mut Daemon, now: Now, fx: &mut Effects, event: &store::Event) -> bool {
+    work::on_store(daemon, now, fx, event)
+}
+
+/// Looks after an operation that waits.
+pub fn on_timer(daemon: &mut Daemon, now: Now, fx: &mut Effects, operation: id::Operation) {
+    work::on_timer(daemon, now, fx, operation);
+    wait::on_timer(daemon, now, fx, operation);
+}
--- /dev/null
+++ b/crates/gcl-core/src/operation/plan.rs
@@ -0,0 +1,286 @@
+//! From an operator's request to the changes of single objects, checked before any is sent.
+
+use super::api::{Apply, Delete, Issue, Item, Label, Moved};
+use crate::{
+    code::{Code, Fault, Result},
+    config::{
+        object::{Object, Role},
+        selector::Selector,
+        snapshot::{Snapshot, Versioned, identity, key_of, labels, labels_mut},
+        transition::{self, Series},
+        validate,
+    },
+    id, route,
+    state::State as Daemon,
+    time::Now,
+};
+use compact_str::{CompactString, format_compact};
+
+/// Most objects of one request.
+pub const MAX_OBJECTS: usize = 256;
+/// Route keys tried for each service and workspace.
+const SAMPLES: u32 = 256;
+/// Most services and workspaces tried.
+const MAX_MOVED: usize = 4096;
+/// Kinds in the order in which they are put in force; they are removed in the reverse order.
+const ORDER: [&str; 8] =
+    ["domain", "service", "database", "server", "workspace", "rule", "key", "token"];
+
+/// The change of one object.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Step {
+    /// The object as it is to be, or as it was when it is removed.
+    pub object: Object,
+    /// Whether it is removed.
+    pub removed: bool,
+    /// The revision of the change that it replaces, zero for none.
+    pub expected: id::Revision,
+}
+
+impl Step {
+    /// Whether it may move route keys.
+    #[must_use]
+    pub const fn guarded(&self) -> bool {
+        matches!(
+            self.object,
+            Object::Service(_) | Object::Database(_) | Object::Rule(_) | Object::Workspace(_)
+        )
+    }
+}
+
+/// Everything that a request changes.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Plan {
+    /// The change's name.
+    pub change: CompactString,
+    /// The steps in order.
+    pub steps: Vec<Step>,
+    /// Store keys of objects that are as they should be.
+    pub unchanged: Vec<CompactString>,
+}
+
+impl Plan {
+    /// The roles of which the operator's token needs one.
+    #[must_use]
+    pub fn roles(&self) -> &'static [Role] {
+        let secret = |step: &Step| matches!(step.object, Object::Key(_) | Object::Token(_));
+        if self.steps.iter().any(secret) { &[Role::Keys] } else { &[Role::Change] }
+    }
+}
+
+/// Reads a body.
+///
+/// # Errors
+/// [`Code::BadObject`] with the line and column.
+pub fn read<T: serde::de::DeserializeOwned>(body: &str) -> Result<T> {
+    serde_json::from_str(body)
+        .map_err(|error| Fault::new(Code::BadObject, format_compact!("{error}")))
+}
+
+/// Reads a selector.
+///
+/// # Errors
+/// [`Code::BadObject`] with the column.
+pub fn selector(text: &str) -> Result<Selector> {
+    let error = |error| Fault::new(Code::BadObject, format_compact!("selector: {error}"));
+    Selector::parse(text).map_err(error)
+}
+
+/// The objects of a kind that a selector chooses.
+///
+/// # Errors
+/// [`Code::BadObject`] for an unknown kind or a selector that cannot be read.
+pub fn chosen(snapshot: &Snapshot, kind: &str, text: &str) -> Result<Vec<Versioned<Object>>> {
+    if kind != "all" && !ORDER.contains(&kind) {
+        return Err(Fault::new(Code::BadObject, format_compact!("no kind is called '{kind}'")));
+    }
+    let selector = selector(text)?;
+    let mut objects = snapshot.objects();
+    objects.retain(|object| {
+        (kind == "all" || identity(&object.value).0 == kind)
+            && selector.matches(labels(&object.value))
+    });
+    Ok(objects)
+}
+
+/// Plans `apply`.
+///
+/// # Errors
+/// [`Code::BadObject`] when there are too many objects.
+pub fn apply(snapshot: &Snapshot, body: Apply) -> Result<Plan> {
+    let mut plan = Plan { change: body.change, ..Plan::default() };
+    for Item { object, revision } in body.objects {
+        put(snapshot, &mut plan, object, revision);
+    }
+    finish(plan)
+}
+
+/// Plans `label`.
+///
+/// # Errors
+/// [`Code::BadObject`] or [`Code::NotFound`].
+pub fn label(snapshot: &Snapshot, body: Label) -> Result<Plan> {
+    let mut plan = Plan { change: body.change, ..Plan::default() };
+    for Versioned { revision, value: mut object } in some(snapshot, &body.kind, &body.selector)? {
+        let labels = labels_mut(&mut object);
+        for label in &body.unset {
+            labels.shift_remove(label);
+        }
+        labels.extend(body.set.clone());
+        put(snapshot, &mut plan, object, Some(revision));
+    }
+    finish(plan)
+}
+
+/// Plans `delete`.
+///
+/// # Errors
+/// [`Code::BadObject`] or [`Code::NotFound`].
+pub fn delete(snapshot: &Snapshot, body: Delete) -> Result<Plan> {
+    let mut plan = Plan { change: body.change, ..Plan::default() };
+    for Versioned { revision, value } in some(snapshot, &body.kind, &body.selector)? {
+        plan.steps.push(Step { object: value, removed: true, expected: revision });
+    }
+    finish(plan)
+}
+
+/// Plans `key/issue`.
+///
+/// # Errors
+/// [`Code::BadObject`].
+pub fn issue(snapshot: &Snapshot, body: Issue) -> Result<Plan> {
+    let mut plan = Plan { change: body.change, ..Plan::default() };
+    put(snapshot, &mut plan, Object::Key(body.key), Some(0));
+    finish(plan)
+}
+
+/// Plans `key/withdraw`.
+///
+/// # Errors
+/// [`Code::BadObject`] or [`Code::NotFound`].
+pub fn withdraw(snapshot: &Snapshot, body: Delete) -> Result<Plan> {
+    let mut plan = Plan { change: body.change, ..Plan::default() };
+    for Versioned { revision, value } in some(snapshot, "key", &body.selector)? {
+        if let Object::Key(mut key) = value {
+            key.withdrawn = true;
+            put(snapshot, &mut plan, Object::Key(key), Some(revision));
+        }
+    }
+    finish(plan)
+}
+
+fn some(snapshot: &Snapshot, kind: &str, text: &str) -> Result<Vec<Versioned<Object>>> {
+    if text.trim().is_empty() {
+        return Err(Fault::new(Code::BadObject, "the selector is empty, which would choose all"));
+    }
+    let chosen = chosen(snapshot, kind, text)?;
+    if chosen.is_empty() {
+        return Err(Fault::new(Code::NotFound, "the selector chooses no object"));
+    }
+    Ok(chosen)
+}
+
+fn put(snapshot: &Snapshot, plan: &mut Plan, object: Object, revision: Option<id::Revision>) {
+    let key = key_of(&object);
+    let held = snapshot.object(&key);
+    if held.is_some_and(|held| held.value == object) {
+        plan.unchanged.push(key);
+        return;
+    }
+    let expected = revision.unwrap_or_else(|| snapshot.revision_of(&key));
+    plan.steps.push(Step { object, removed: false, expected });
+}
+
+fn finish(mut plan: Plan) -> Result<Plan> {
+    if plan.steps.len() > MAX_OBJECTS {
+        return Err(Fault::new(Code::BadObject, "at most 256 objects in one request"));
+    }
+    if plan.change.is_empty() {
+        return Err(Fault::new(Code::BadObject, "the change has no name"));
+    }
+    plan.steps.sort_by_key(rank);
+    Ok(plan)
+}
+
+/// Removals come first, from what refers to what is referred to; then the others the other way.
+fn rank(step: &Step) -> (bool, usize) {
+    let (kind, _) = identity(&step.object);
+    let place = ORDER.iter().position(|known| *known == kind).unwrap_or_default();
+    if step.removed { (false, ORDER.len() - place) } else { (true, place) }
+}
+
+/// Checks a plan: each object, the references afterwards, and each step's move of route keys.
+/// Gives the configuration as it would be.
+///
+/// # Errors
+/// [`Code::BadObject`], [`Code::NotFound`] or [`Code::RouteClosed`].
+pub fn check(daemon: &Daemon, now: Now, plan: &Plan) -> Result<Snapshot> {
+    let before = &daemon.config.snapshot;
+    let mut working = before.clone();
+    let mut series = Series::default();
+    for step in &plan.steps {
+        if !step.removed
+            && let Some(problem) = validate::object(&step.object).into_iter().next()
+        {
+            return Err(refusal(&problem));
+        }
+        let from = step.guarded().then(|| working.clone());
+        perform(&mut working, step);
+        if let Some(from) = from {
+            working.index();
+            transition::check(daemon, now, &mut series, &from, &working)?;
+        }
+    }
+    working.index();
+    let known = validate::snapshot(before);
+    let new = validate::snapshot(&working).into_iter().find(|problem| !known.contains(problem));
+    new.map_or(Ok(working), |problem| Err(refusal(&problem)))
+}
+
+fn refusal(problem: &validate::Problem) -> Fault {
+    let detail = format_compact!("{}: {}", problem.key, problem.fault.detail);
+    Fault { detail, ..problem.fault.clone() }
+}
+
+/// Makes a step in a copy of the configuration.
+pub fn perform(snapshot: &mut Snapshot, step: &Step) {
+    let revision = snapshot.revision + 1;
+    snapshot.revision = revision;
+    if step.removed {
+        snapshot.remove(revision, step.object.clone());
+    } else {
+        snapshot.put(revision, step.object.clone());
+    }
+}
+
+/// Which sampled route keys a change would place elsewhere or close.
+#[must_use]
+pub fn moved(from: &Snapshot, to: &Snapshot) -> Vec<Moved> {
+    let changed = to.placements.iter().filter(|(service, placement)| {
+        from.placements.get(*service).map(|old| &old.routes) != Some(&placement.routes)
+    });
+    let pairs = changed.flat_map(|(service, _)| {
+        to.workspaces.keys().map(move |workspace| sample(from, to, service, workspace))
+    });
+    pairs.take(MAX_MOVED).filter(|moved| moved.moved + moved.closed > 0).collect()
+}
+
+fn sample(from: &Snapshot, to: &Snapshot, service: &str, workspace: &str) -> Moved {
+    let mut result = Moved {
+        service: service.into(),
+        workspace: workspace.into(),
+        sampled: SAMPLES,
+        moved: 0,
+        closed: 0,
+    };
+    for number in 0..SAMPLES {
+        let key = format_compact!("{number}");
+        let Ok(after) = route::place(to, workspace, service, &key) else {
+            continue;
+        };
+        let before = route::place(from, workspace, service, &key);
+        result.moved += u32::from(before.is_ok_and(|before| before.database != after.database));
+        result.closed += u32::from(!after.writable);
+    }
+    result
+}
--- a/crates/gcl-core/src/reduce.rs
+++ b/crates/gcl-core/src/reduce.rs
@@ -24,7 +24,11 @@
     let mut done = Vec::new();
     let mut queue = VecDeque::from([event]);
     while let Some(event) = queue.pop_front() {
+        let version = state.config.version;
         dispatch(state, now, &mut fx, event);
+        if state.config.version != version {
+            on_config(state, now, &mut fx);
+        }
         for effect in fx.take() {
             match effect {
                 Effect::Peer { to, message, .. } if to == state.settings.daemon => {
@@ -102,14 +106,10 @@
 }
 
 fn on_store(state: &mut State, now: Now, fx: &mut Effects, event: &store::Event) {
-    let revision = state.config.snapshot.revision;
     let _ = config::on_store(state, now, fx, event)
         || limit::on_store(state, now, fx, event)
         || member::on_store(state, now, fx, event)
         || operation::on_store(state, now, fx, event);
-    if state.config.snapshot.revision != revision {
-        on_config(state, now, fx);
-    }
 }
 
 fn on_config(state: &mut State, now: Now, fx: &mut Effects) {
--- a/crates/gcl-core/src/rendezvous.rs
+++ b/crates/gcl-core/src/rendezvous.rs
@@ -17,7 +17,19 @@
 /// The weight of `node` for `key`; the node of greatest weight owns the key.
 #[must_use]
 pub fn weight(key: &str, node: &str) -> u64 {
-    random::mix(hash(key) ^ random::mix(hash(node)))
+    weigh(hash(key), self::node(node))
+}
+
+/// The hash of a node, for [`weigh`].
+#[must_use]
+pub fn node(name: &str) -> u64 {
+    random::mix(hash(name))
+}
+
+/// The weight of a node for a key, both by their hashes; see [`weight`].
+#[must_use]
+pub const fn weigh(key: u64, node: u64) -> u64 {
+    random::mix(key ^ node)
 }
 
 /// The owner of `key` among `nodes`.
--- a/crates/gcl-core/src/state.rs
+++ b/crates/gcl-core/src/state.rs
@@ -89,7 +89,7 @@
             limit: limit::State,
             home: home::State::default(),
             group: group::State::default(),
-            operation: operation::State,
+            operation: operation::State::default(),
         }
     }
 }
--- a/crates/gcl-core/src/store.rs
+++ b/crates/gcl-core/src/store.rs
@@ -37,6 +37,15 @@
 }
 
 impl Change {
+    /// The key that changed.
+    #[must_use]
+    pub const fn key(&self) -> &CompactString {
+        match self {
+            Self::Put(entry) => &entry.key,
+            Self::Deleted { key, .. } => key,
+        }
+    }
+
     /// The revision of the change.
     #[must_use]
     pub const fn revision(&self) -> id::Revision {
@@ -65,6 +74,19 @@
         /// The lease to hang it on, zero for none.
         lease: Lease,
     },
+    /// Writes a key and touches a guard, at one revision, if the last change of each is as expected.
+    Swap {
+        /// The guard.
+        guard: CompactString,
+        /// The revision of the guard's last change, zero for absent.
+        held: id::Revision,
+        /// The key.
+        key: CompactString,
+        /// The revision of the key's last change, zero for absent.
+        expected: id::Revision,
+        /// The new value.
+        value: Bytes,
+    },
     /// Removes a key if its last change is `expected`.
     Delete {
         /// The key.
--- a/crates/gcl-store/src/client.rs
+++ b/crates/gcl-store/src/client.rs
@@ -135,6 +135,9 @@
                 let put = convert::put(&key, &value, lease);
                 self.swap(&convert::swap(&key, expected, put)).await
             }
+            Op::Swap { guard, held, key, expected, value } => {
+                self.swap(&convert::guarded((&guard, held), &key, expected, &value)).await
+            }
             Op::Delete { key, expected } => {
                 self.swap(&convert::swap(&key, expected, convert::delete(&key))).await
             }
--- a/crates/gcl-store/src/convert.rs
+++ b/crates/gcl-store/src/convert.rs
@@ -41,6 +41,17 @@
     }
 }
 
+/// Writes a key and touches a guard if the last change of each is as expected, and reads the key
+/// otherwise.
+pub fn guarded(guard: (&str, u64), key: &str, expected: u64, value: &[u8]) -> TxnRequest {
+    let (guard, held) = guard;
+    let mut request = swap(key, expected, put(key, value, 0));
+    let condition = swap(guard, held, put(guard, &[], 0));
+    request.compare.extend(condition.compare);
+    request.success.extend(condition.success);
+    request
+}
+
 /// Writes a key.
 pub fn put(key: &str, value: &[u8], lease: Lease) -> RequestOp {
     RequestOp::RequestPut(PutRequest {
