--- a/crates/gcl-core/src/state.rs
+++ b/crates/gcl-core/src/state.rs
@@ -92,7 +92,7 @@
             home: home::State::default(),
             group: group::State::default(),
             anchor: record::anchor::State::default(),
-            operation: operation::State,
+            operation: operation::State::default(),
         }
     }
 }
