--- a/crates/gcl-core/src/store.rs
+++ b/crates/gcl-core/src/store.rs
@@ -36,6 +36,26 @@
     },
 }
 
+impl Change {
+    /// The key that changed.
+    #[must_use]
+    pub const fn key(&self) -> &CompactString {
+        match self {
+            Self::Put(entry) => &entry.key,
+            Self::Deleted { key, .. } => key,
+        }
+    }
+
+    /// The revision of the change.
+    #[must_use]
+    pub const fn revision(&self) -> id::Revision {
+        match self {
+            Self::Put(entry) => entry.revision,
+            Self::Deleted { revision, .. } => *revision,
+        }
+    }
+}
+
 /// A question to the store.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Op {
@@ -54,6 +74,19 @@
         /// The lease to hang it on, zero for none.
         lease: Lease,
     },
+    /// Writes a key and touches a guard, at one revision, if the last change of each is as expected.
+    Swap {
+        /// The guard.
+        guard: CompactString,
+        /// The revision of the guard's last change, zero for absent.
+        held: id::Revision,
+        /// The key.
+        key: CompactString,
+        /// The revision of the key's last change, zero for absent.
+        expected: id::Revision,
+        /// The new value.
+        value: Bytes,
+    },
     /// Removes a key if its last change is `expected`.
     Delete {
         /// The key.
@@ -76,6 +109,8 @@
     },
     /// Reads the platform's lagging list of VMs.
     Vms,
+    /// Ends a watch, without an answer.
+    Unwatch(id::Call),
 }
 
 /// A call with its id.
