--- a/crates/gcl-core/src/config/mod.rs
+++ b/crates/gcl-core/src/config/mod.rs
@@ -79,6 +79,7 @@
 /// Acts on the regular timer.
 pub fn on_timer(daemon: &mut Daemon, now: Now, fx: &mut Effects) {
     daemon.config.role = tree::role(daemon);
+    proof::serve(daemon, now);
     follow::tick(daemon, now, fx);
     spread::tick(daemon, now, fx);
     measure(daemon, now, fx);
--- a/crates/gcl-core/src/config/proof.rs
+++ b/crates/gcl-core/src/config/proof.rs
@@ -40,6 +40,14 @@
     waiting: Vec<Waiting>,
     survey: Option<Survey>,
     intent: Option<Duration>,
+    /// Since when this daemon has been a relay, to which changes are announced.
+    relay: Option<Duration>,
+}
+
+/// Notes whether this daemon is a relay.
+pub fn serve(daemon: &mut Daemon, now: Now) {
+    let proof = &mut daemon.config.proof;
+    proof.relay = daemon.config.role.relay.then(|| proof.relay.unwrap_or(now.mono));
 }
 
 /// Notes that the store, asked at `since`, was at a revision.
@@ -93,9 +101,10 @@
 /// Whether this daemon can say that the store took no change that it knows of or expects.
 #[must_use]
 pub fn quiet(daemon: &Daemon, now: Now) -> bool {
-    let direct = daemon.config.direct;
-    let cut_off = direct.is_none_or(|direct| now.since(direct) > DOWN);
-    cut_off && daemon.config.proof.intent.is_none()
+    let config = &daemon.config;
+    let cut_off = config.direct.is_none_or(|direct| now.since(direct) > DOWN);
+    let settled = config.proof.relay.is_some_and(|since| now.since(since) > INTENT);
+    cut_off && settled && config.proof.intent.is_none()
 }
 
 /// Notes that a change is about to be sent to the store.
--- a/crates/gcl-core/src/config/spread.rs
+++ b/crates/gcl-core/src/config/spread.rs
@@ -216,7 +216,7 @@
     whole: bool,
 ) {
     let config = &daemon.config;
-    let held = revision >= config.floor;
+    let held = revision > 0 && revision >= config.floor;
     if !held && whole {
         pages(daemon, fx, to);
     }
--- /dev/null
+++ b/crates/gcl-core/tests/core/config/mod.rs
@@ -0,0 +1,9 @@
+//! Tests of `gcl_core::config`.
+
+mod fleet;
+mod follow;
+mod selector;
+mod snapshot;
+mod spread;
+mod validate;
+mod world;
