--- a/crates/gcl-core/src/request/fate.rs
+++ b/crates/gcl-core/src/request/fate.rs
@@ -89,7 +89,7 @@
         }
         Fate::Forgotten => {
             let fault = Fault::new(Code::OutcomeUnknown, "the home no longer knows the request");
-            after_unknown(daemon, now, fx, request, fault);
+            outcome::finish(daemon, now, fx, request, Outcome::Unknown(fault));
         }
     }
 }
