feat(daemon): run the reducer in an actix shell with all its ports

Cause: the reducer had no process. The shell opens the caller, peer and operator ports, the store client, the backend client, the timer service, record and trace, and feeds one actor.

--- a/crates/gcl-daemon/src/main.rs
+++ b/crates/gcl-daemon/src/main.rs
@@ -1,2 +1,135 @@
-//! Placeholder.
-fn main() {}
+//! The goldcrestd daemon.
+
+use eyre::{WrapErr, bail};
+use gcl_core::settings::{self, Settings};
+use gcl_daemon::{daemon, log};
+use getopts::Options;
+use metrics_exporter_prometheus::PrometheusBuilder;
+use std::{
+    collections::hash_map::RandomState,
+    env, fs,
+    hash::{BuildHasher, Hasher},
+    process::ExitCode,
+};
+use tokio::signal::unix::{SignalKind, signal};
+
+#[global_allocator]
+static ALLOCATOR: mimalloc::MiMalloc = mimalloc::MiMalloc;
+
+/// Exit code for a command line that cannot be understood.
+const EXIT_USAGE: u8 = 2;
+/// Exit code for settings with faults.
+const EXIT_SETTINGS: u8 = 3;
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = env::args().skip(1).collect();
+    let options = options();
+    let matches = match options.parse(&arguments) {
+        Ok(matches) => matches,
+        Err(error) => {
+            eprintln!("goldcrestd: {error}");
+            return ExitCode::from(EXIT_USAGE);
+        }
+    };
+    if matches.opt_present("help") {
+        print!("{}", options.usage(USAGE));
+        return ExitCode::SUCCESS;
+    }
+    if matches.opt_present("version") {
+        println!("goldcrestd {}", env!("CARGO_PKG_VERSION"));
+        return ExitCode::SUCCESS;
+    }
+    let free: Vec<&str> = matches.free.iter().map(String::as_str).collect();
+    match free.as_slice() {
+        ["check", path] => check(path),
+        ["run", path] => run(path, matches.opt_str("record")),
+        _ => {
+            eprint!("{}", options.usage(USAGE));
+            ExitCode::from(EXIT_USAGE)
+        }
+    }
+}
+
+const USAGE: &str = "Usage: goldcrestd [options] run FILE
+       goldcrestd [options] check FILE
+
+Runs a daemon with the settings in FILE, or checks the settings.
+Exit codes: 0 success, 1 failure, 2 usage, 3 faults in the settings.";
+
+fn options() -> Options {
+    let mut options = Options::new();
+    options.optflag("h", "help", "print this help");
+    options.optflag("V", "version", "print the version");
+    options.optopt("", "record", "write a trace of every decision, - for standard output", "FILE");
+    options
+}
+
+/// Reads settings and prints each fault in them.
+fn read(path: &str) -> Result<Settings, ExitCode> {
+    let text = fs::read_to_string(path).map_err(|error| {
+        eprintln!("goldcrestd: cannot read {path}: {error}");
+        ExitCode::FAILURE
+    })?;
+    settings::parse(&text).map_err(|problems| {
+        for problem in problems {
+            eprintln!("{path}:{problem}");
+        }
+        ExitCode::from(EXIT_SETTINGS)
+    })
+}
+
+fn check(path: &str) -> ExitCode {
+    match read(path) {
+        Ok(settings) => {
+            println!("{path}: the settings of {} are valid", settings.daemon);
+            ExitCode::SUCCESS
+        }
+        Err(code) => code,
+    }
+}
+
+fn run(path: &str, trace: Option<String>) -> ExitCode {
+    let settings = match read(path) {
+        Ok(settings) => settings,
+        Err(code) => return code,
+    };
+    let system = actix_rt::System::with_tokio_rt(log::runtime);
+    match system.block_on(serve(settings, trace)) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("goldcrestd: {error:?}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+async fn serve(settings: Settings, trace: Option<String>) -> eyre::Result<()> {
+    log::init();
+    let metrics = PrometheusBuilder::new().install_recorder()?;
+    let name = settings.daemon.clone();
+    let options = daemon::Options { settings, seed: seed(), trace, metrics: Some(metrics) };
+    let mut outcome = daemon::start(options).await.wrap_err("the daemon did not start")?;
+    tracing::info!(
+        daemon = %name,
+        caller = %outcome.caller,
+        peer = %outcome.peer,
+        operator = %outcome.operator,
+        "the daemon is listening"
+    );
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    tokio::select! {
+        _ = terminate.recv() => {}
+        _ = interrupt.recv() => {}
+        () = outcome.stopped() => bail!("the daemon stopped by itself"),
+    }
+    tracing::info!(daemon = %name, "draining");
+    outcome.stop();
+    outcome.stopped().await;
+    Ok(())
+}
+
+/// A number drawn from the operating system, by way of the hasher's random keys.
+fn seed() -> u64 {
+    RandomState::new().build_hasher().finish()
+}
--- /dev/null
+++ b/crates/gcl-daemon/src/reducer.rs
@@ -0,0 +1,162 @@
+//! The actor that owns a daemon's state: it feeds events to the reducer and carries out effects.
+//!
+//! Nothing is decided here. Each effect goes to the part of the shell that can do it.
+
+use crate::{metric, operator, peer, record, timer, trace};
+use actix::{Actor, AsyncContext, Context, StreamHandler};
+use futures::{
+    Stream, StreamExt,
+    stream::{BoxStream, select_all},
+};
+use gcl_core::{
+    caller, effect::Effect, event::Event, id, operator::Request, peer as peers,
+    record::chain::Head, reduce::reduce, server, state::State, store, time::Now, timer::Key,
+};
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::{
+    sync::{mpsc::UnboundedReceiver, watch},
+    time::Instant,
+};
+use tokio_stream::wrappers::UnboundedReceiverStream;
+
+/// The parts of the shell that carry out effects.
+#[derive(Debug)]
+pub struct Ports {
+    /// Callers' connections.
+    pub callers: crate::caller::Listener,
+    /// Streams to other daemons.
+    pub peers: peer::Handle,
+    /// The platform store.
+    pub store: gcl_store::client::Client,
+    /// Backend servers.
+    pub backend: gcl_backend::client::Client,
+    /// The timer service.
+    pub timers: timer::Handle,
+    /// The operators' port.
+    pub operators: operator::Handle,
+    /// The record.
+    pub record: record::Writer,
+    /// The trace of this daemon, if it is recorded.
+    pub trace: Option<trace::Writer>,
+    /// Told when the daemon has nothing left to do.
+    pub exit: watch::Sender<bool>,
+}
+
+/// Where events come from.
+#[derive(Debug)]
+pub struct Sources {
+    /// Callers' connections.
+    pub callers: UnboundedReceiver<(id::Session, caller::Event)>,
+    /// The peer port.
+    pub peers: UnboundedReceiver<peers::Event>,
+    /// The platform store.
+    pub store: UnboundedReceiver<store::Event>,
+    /// Backend servers.
+    pub backend: UnboundedReceiver<(id::Server, server::Event)>,
+    /// The timer service.
+    pub timers: UnboundedReceiver<Key>,
+    /// The operators' port.
+    pub operators: UnboundedReceiver<(id::Operation, Request)>,
+    /// The record.
+    pub heads: UnboundedReceiver<Head>,
+    /// Orders to stop.
+    pub stop: UnboundedReceiver<()>,
+}
+
+impl Sources {
+    /// All sources as one stream of events.
+    fn into_stream(self) -> impl Stream<Item = Event> {
+        let callers = stream(self.callers, |(session, event)| Event::Caller(session, event));
+        let peers = stream(self.peers, Event::Peer);
+        let store = stream(self.store, Event::Store);
+        let backend = stream(self.backend, |(server, event)| Event::Server(server, event));
+        let timers = stream(self.timers, Event::Timer);
+        let operators =
+            stream(self.operators, |(operation, request)| Event::Operator(operation, request));
+        let heads = stream(self.heads, Event::Head);
+        let stop = stream(self.stop, |()| Event::Stop);
+        select_all([callers, peers, store, backend, timers, operators, heads, stop])
+    }
+}
+
+fn stream<T: Send + 'static>(
+    source: UnboundedReceiver<T>,
+    event: impl Fn(T) -> Event + Send + 'static,
+) -> BoxStream<'static, Event> {
+    UnboundedReceiverStream::new(source).map(event).boxed()
+}
+
+/// The actor around the reducer.
+#[derive(Debug)]
+pub struct Reducer {
+    state: State,
+    origin: Instant,
+    ports: Ports,
+    sources: Option<Sources>,
+}
+
+impl Reducer {
+    /// An actor that starts as soon as it runs; monotonic time counts from `origin`.
+    #[must_use]
+    pub const fn new(state: State, origin: Instant, ports: Ports, sources: Sources) -> Self {
+        Self { state, origin, ports, sources: Some(sources) }
+    }
+
+    fn now(&self) -> Now {
+        let wall = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or(Duration::ZERO);
+        Now { mono: self.origin.elapsed(), wall }
+    }
+
+    fn step(&mut self, event: Event) {
+        let now = self.now();
+        let traced = self.ports.trace.is_some().then(|| event.clone());
+        let effects = reduce(&mut self.state, now, event);
+        if let (Some(trace), Some(event)) = (&self.ports.trace, traced) {
+            trace.write(now, &event, &effects);
+        }
+        for effect in effects {
+            self.carry_out(now, effect);
+        }
+    }
+
+    fn carry_out(&mut self, now: Now, effect: Effect) {
+        let ports = &mut self.ports;
+        match effect {
+            Effect::Caller(session, effect) => ports.callers.act(session, effect),
+            Effect::Peer { to, address, message } => ports.peers.send(to, address, message),
+            Effect::Store(call) => ports.store.call(call),
+            Effect::Server(server, call) => ports.backend.call(server, call),
+            Effect::Operator(operation, response) => ports.operators.answer(operation, response),
+            Effect::Timer(effect) => ports.timers.act(effect),
+            Effect::Record(line) => ports.record.write(now, line),
+            Effect::ReadHead => ports.record.read_head(),
+            Effect::Metric(measurement) => metric::report(measurement),
+            Effect::Ready(ready) => {
+                if ports.operators.ready(ready) {
+                    tracing::info!(daemon = %self.state.settings.daemon, ready, "readiness changed");
+                }
+            }
+            Effect::CloseListeners => ports.callers.close_listener(),
+            Effect::Exit => {
+                ports.exit.send_replace(true);
+            }
+        }
+    }
+}
+
+impl Actor for Reducer {
+    type Context = Context<Self>;
+
+    fn started(&mut self, ctx: &mut Self::Context) {
+        if let Some(sources) = self.sources.take() {
+            ctx.add_stream(sources.into_stream());
+        }
+        self.step(Event::Started);
+    }
+}
+
+impl StreamHandler<Event> for Reducer {
+    fn handle(&mut self, item: Event, _ctx: &mut Self::Context) {
+        self.step(item);
+    }
+}
--- /dev/null
+++ b/crates/gcl-daemon/src/timer.rs
@@ -0,0 +1,85 @@
+//! The timer service: parts subscribe by a key, and the key comes back when its time is there.
+
+use futures::StreamExt;
+use gcl_core::timer::{Effect, Key};
+use indexmap::IndexMap;
+use std::time::Duration;
+use tokio::{
+    sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel},
+    time::Instant,
+};
+use tokio_util::time::{DelayQueue, delay_queue};
+
+/// The reducer's end of the timer service.
+#[derive(Clone, Debug)]
+pub struct Handle {
+    orders: UnboundedSender<Effect>,
+}
+
+impl Handle {
+    /// Arms or cancels a timer.
+    pub fn act(&self, effect: Effect) {
+        // The service ends only with the daemon, when no timer matters.
+        let _ = self.orders.send(effect);
+    }
+}
+
+/// Starts the service; times count from `origin`, keys that are due go to `events`.
+#[must_use]
+pub fn start(origin: Instant, events: UnboundedSender<Key>) -> Handle {
+    let (orders, receiver) = unbounded_channel();
+    tokio::spawn(serve(origin, receiver, events));
+    Handle { orders }
+}
+
+async fn serve(
+    origin: Instant,
+    mut orders: UnboundedReceiver<Effect>,
+    events: UnboundedSender<Key>,
+) {
+    let mut service = Service { origin, queue: DelayQueue::new(), armed: IndexMap::new() };
+    loop {
+        tokio::select! {
+            order = orders.recv() => match order {
+                Some(effect) => service.apply(effect),
+                None => return,
+            },
+            Some(due) = service.queue.next() => {
+                let key = due.into_inner();
+                service.armed.swap_remove(&key);
+                if events.send(key).is_err() {
+                    return;
+                }
+            }
+        }
+    }
+}
+
+struct Service {
+    origin: Instant,
+    queue: DelayQueue<Key>,
+    armed: IndexMap<Key, delay_queue::Key>,
+}
+
+impl Service {
+    fn apply(&mut self, effect: Effect) {
+        match effect {
+            Effect::Arm { key, at } => self.arm(key, at),
+            Effect::Cancel(key) => {
+                if let Some(slot) = self.armed.swap_remove(&key) {
+                    self.queue.remove(&slot);
+                }
+            }
+        }
+    }
+
+    fn arm(&mut self, key: Key, at: Duration) {
+        let due = self.origin + at;
+        if let Some(slot) = self.armed.get(&key) {
+            self.queue.reset_at(slot, due);
+        } else {
+            let slot = self.queue.insert_at(key.clone(), due);
+            self.armed.insert(key, slot);
+        }
+    }
+}
--- a/crates/gcl-standin/src/platform/load.rs
+++ b/crates/gcl-standin/src/platform/load.rs
@@ -16,10 +16,19 @@
     let objects: Vec<Object> = jsonc_parser::parse_to_serde_value(&text, &ParseOptions::default())
         .map_err(|error| eyre!("{}: {error}", path.display()))?;
     for object in &objects {
-        let value = Blob(serde_json::to_vec(object)?);
-        let key = Blob::text(&snapshot::key_of(object));
-        let put = PutRequest { key, value, lease: Int(0) };
-        platform.store(|store| store.put(&put)).map_err(|error| eyre!("{error:?}"))?;
+        put(platform, object)?;
     }
     Ok(objects.len())
 }
+
+/// Puts one object into the store, as an operator's change would.
+///
+/// # Errors
+/// When the store refuses it.
+pub fn put(platform: &Platform, object: &Object) -> Result<()> {
+    let value = Blob(serde_json::to_vec(object)?);
+    let key = Blob::text(&snapshot::key_of(object));
+    let put = PutRequest { key, value, lease: Int(0) };
+    platform.store(|store| store.put(&put)).map_err(|error| eyre!("{error:?}"))?;
+    Ok(())
+}
