feat(session): carry the whole protocol, options, tokens and drains

A session runs one batch at a time and queues the rest, so that an answer reaches only the batch that asked. Batches are judged by their strongest statement; what a shared connection cannot carry is refused before it is sent.

Submit.floor is now token::Floor: without a token what was seen is unknown, with an empty one it is nothing, and a mapping by database could not tell the two apart.

--- a/crates/gcl-core/src/code.rs
+++ b/crates/gcl-core/src/code.rs
@@ -97,6 +97,10 @@
     Cancelled = 138, "57014";
     /// The request was refused by its tombstone: it can no longer run.
     Tombstone = 139, "57014";
+    /// The prepared statement does not exist.
+    UnknownStatement = 140, "26000";
+    /// The session was idle for too long.
+    IdleTimeout = 141, "57P05";
     /// The operator's token is wrong or lacks the role.
     Forbidden = 150, "42501";
     /// The object is malformed.
--- a/crates/gcl-core/src/lib.rs
+++ b/crates/gcl-core/src/lib.rs
@@ -37,3 +37,4 @@
 pub mod store;
 pub mod time;
 pub mod timer;
+pub mod token;
--- a/crates/gcl-core/src/request/attempt.rs
+++ b/crates/gcl-core/src/request/attempt.rs
@@ -65,7 +65,7 @@
     match pending.submit.class {
         _ if pending.writes => Need::Write,
         Class::Read | Class::Call | Class::Begin { read_only: true } if aged => {
-            let floor = pending.submit.floor.get(&pending.place.database).copied();
+            let floor = pending.submit.floor.get(&pending.place.database);
             Need::Aged { floor, max_age }
         }
         Class::Read | Class::Begin { read_only: true } => Need::Strong,
--- a/crates/gcl-core/src/request/mod.rs
+++ b/crates/gcl-core/src/request/mod.rs
@@ -22,7 +22,6 @@
     effect::Effects,
     home, id,
     limit::{self, Admission},
-    mark::Mark,
     member, peer,
     record::{self, Line},
     route::{self, Place},
@@ -32,6 +31,7 @@
     statement::{Class, Options},
     time::Now,
     timer,
+    token::Floor,
 };
 use compact_str::CompactString;
 use indexmap::IndexMap;
@@ -79,7 +79,7 @@
     /// What the caller asks of the proxy.
     pub options: Options,
     /// The session's floor.
-    pub floor: IndexMap<id::Database, Mark>,
+    pub floor: Floor,
     /// Session variables to set first.
     pub variables: Vec<(CompactString, CompactString)>,
     /// The messages to run.
--- a/crates/gcl-core/src/session/mod.rs
+++ b/crates/gcl-core/src/session/mod.rs
@@ -1,20 +1,44 @@
 //! A caller's connection at its entry: login, messages, options and the session's floor.
+//!
+//! A session runs one batch at a time. What the caller sends meanwhile waits in its queue, so that
+//! answers leave in the order of the messages and an answer reaches only the batch that asked.
+
+mod login;
+mod message;
+mod option;
+mod queue;
+mod reply;
 
 use crate::{
-    batch::{Batch, Status},
+    batch::Status,
     caller::{Effect, Event, Reply},
     code::{Code, Fault},
     effect::Effects,
-    id, key,
-    mark::Mark,
-    request::{self, Submit},
+    id,
+    record::{self, Line},
+    request, route,
     run::Outcome,
     state::State as Daemon,
-    statement::{self, Options},
+    statement::Options,
     time::Now,
+    timer,
+    token::Floor,
 };
 use compact_str::CompactString;
 use indexmap::IndexMap;
+use std::time::Duration;
+
+/// How far a session has come.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum Phase {
+    /// Waits for the startup packet.
+    #[default]
+    Startup,
+    /// Waits for the key.
+    Password,
+    /// Takes requests.
+    Open,
+}
 
 /// One caller's connection.
 #[derive(Clone, Debug, Default)]
@@ -28,13 +52,25 @@
     /// Options of the session.
     pub options: Options,
     /// The last acknowledged write seen, by database.
-    pub floor: IndexMap<id::Database, Mark>,
+    pub floor: Floor,
     /// Variables that the caller set.
     pub variables: IndexMap<CompactString, CompactString>,
     /// The transaction status.
     pub status: Status,
-    /// Whether the login is complete.
-    pub welcome: bool,
+    phase: Phase,
+    /// What a cancel request must show.
+    secret: i32,
+    /// When the caller was last heard or answered.
+    active: Duration,
+    prepared: message::Prepared,
+    queue: queue::Queue,
+}
+
+impl Session {
+    /// Whether nothing runs, waits or is held open.
+    fn idle(&self) -> bool {
+        self.queue.is_idle() && matches!(self.status, Status::Idle)
+    }
 }
 
 /// The callers' connections.
@@ -45,135 +81,146 @@
 }
 
 /// Acts on a caller's event.
-pub fn on_event(
-    daemon: &mut Daemon,
-    now: Now,
-    fx: &mut Effects,
-    session: id::Session,
-    event: Event,
-) {
+pub fn on_event(daemon: &mut Daemon, now: Now, fx: &mut Effects, id: id::Session, event: Event) {
+    if let Some(session) = daemon.session.sessions.get_mut(&id) {
+        session.active = now.mono;
+    }
     match event {
-        Event::Opened { .. } => {
-            daemon.session.sessions.insert(session, Session::default());
+        Event::Opened { .. } => login::on_opened(daemon, now, fx, id),
+        Event::Refused { address, code } => login::on_refused(fx, id, address, code),
+        Event::Startup(parameters) => login::on_startup(daemon, now, fx, id, parameters),
+        Event::Password(secret) => login::on_password(daemon, now, fx, id, &secret),
+        Event::Cancel { process, secret } => on_cancel(daemon, now, fx, process, secret),
+        Event::Terminate | Event::Closed => forget(daemon, now, fx, id),
+        Event::Malformed(what) => {
+            end(daemon, now, fx, id, &Fault::new(Code::Protocol, what));
         }
-        Event::Startup(parameters) => on_startup(daemon, fx, session, parameters),
-        Event::Password(secret) => on_password(daemon, fx, session, &secret),
-        Event::Query(sql) => on_query(daemon, now, fx, session, sql),
-        Event::Terminate | Event::Closed => {
-            daemon.session.sessions.swap_remove(&session);
-            request::on_session_closed(daemon, now, fx, session);
+        Event::Oversized(bytes) => {
+            let detail = compact_str::format_compact!("a message of {bytes} bytes");
+            end(daemon, now, fx, id, &Fault::new(Code::TooLarge, detail));
         }
-        _ => fx.reply(
-            session,
-            vec![Reply::Error {
-                fault: Fault::new(Code::NotSupported, "the message is not supported"),
-                fatal: false,
-            }],
-        ),
+        event => message::on_message(daemon, now, fx, id, event),
     }
 }
 
-fn on_startup(
-    daemon: &mut Daemon,
-    fx: &mut Effects,
-    id: id::Session,
-    parameters: Vec<(CompactString, CompactString)>,
-) {
-    let Some(session) = daemon.session.sessions.get_mut(&id) else {
-        return;
-    };
-    for (name, value) in parameters {
-        match name.as_str() {
-            "user" => session.workspace = value,
-            "database" => session.service = value,
-            _ => {}
-        }
+fn on_cancel(daemon: &mut Daemon, now: Now, fx: &mut Effects, process: i32, secret: i32) {
+    let Ok(id) = id::Session::try_from(process) else { return };
+    let session = daemon.session.sessions.get(&id);
+    let shown = session.is_some_and(|session| session.secret == secret);
+    if shown {
+        request::cancel(daemon, now, fx, id);
     }
-    fx.reply(id, vec![Reply::AskPassword]);
 }
 
-fn on_password(
-    daemon: &mut Daemon,
-    fx: &mut Effects,
-    id: id::Session,
-    secret: &crate::caller::Secret,
-) {
-    let Some(session) = daemon.session.sessions.get_mut(&id) else {
-        return;
+/// Forgets a session and gives up what it has open.
+fn forget(daemon: &mut Daemon, now: Now, fx: &mut Effects, id: id::Session) {
+    let Some(session) = daemon.session.sessions.swap_remove(&id) else { return };
+    let timer = match session.phase {
+        Phase::Open => timer::Key::Idle(id),
+        Phase::Startup | Phase::Password => timer::Key::Login(id),
     };
-    match key::authenticate(&daemon.config.snapshot, &session.workspace, secret) {
-        Ok(key) => {
-            session.key = key;
-            session.welcome = true;
-            fx.reply(
-                id,
-                vec![
-                    Reply::Welcome,
-                    Reply::Parameter("server_version".into(), "16.0".into()),
-                    Reply::Parameter("client_encoding".into(), "UTF8".into()),
-                    Reply::Ready(Status::Idle),
-                ],
-            );
-        }
-        Err(fault) => {
-            fx.reply(id, vec![Reply::Error { fault, fatal: true }]);
-            fx.caller(id, Effect::Close);
-        }
-    }
+    fx.cancel(timer);
+    request::on_session_closed(daemon, now, fx, id);
 }
 
-fn on_query(daemon: &mut Daemon, now: Now, fx: &mut Effects, id: id::Session, sql: String) {
-    let Some(session) = daemon.session.sessions.get(&id).filter(|session| session.welcome) else {
-        fx.caller(id, Effect::Close);
-        return;
+/// Ends a session with a fatal error.
+fn end(daemon: &mut Daemon, now: Now, fx: &mut Effects, id: id::Session, fault: &Fault) {
+    let Some(session) = daemon.session.sessions.get(&id) else { return };
+    let kind = if session.phase == Phase::Open {
+        record::Kind::Refusal
+    } else {
+        fx.count("goldcrest_logins_total", "refused", 1);
+        record::Kind::Login
     };
-    let submit = Submit {
-        session: id,
+    fx.record(refusal(session, id, kind, fault));
+    fx.reply(id, vec![Reply::Error { fault: fault.clone(), fatal: true }]);
+    fx.caller(id, Effect::Close);
+    forget(daemon, now, fx, id);
+}
+
+fn refusal(session: &Session, id: id::Session, kind: record::Kind, fault: &Fault) -> Line {
+    Line {
+        code: Some(fault.code),
         workspace: session.workspace.clone(),
         key: session.key.clone(),
-        service: session.service.clone(),
-        class: statement::classify(&sql),
-        options: session.options.clone(),
-        floor: session.floor.clone(),
-        variables: Vec::new(),
-        batch: Batch::Simple(sql),
-    };
-    request::submit(daemon, now, fx, submit);
+        session: Some(id),
+        reason: fault.detail.clone(),
+        ..Line::new(kind)
+    }
 }
 
 /// Takes the final outcome of a session's request.
 pub fn on_outcome(
     daemon: &mut Daemon,
-    _now: Now,
+    now: Now,
     fx: &mut Effects,
     id: id::Session,
     database: &id::Database,
     outcome: Outcome,
 ) {
-    let Some(session) = daemon.session.sessions.get_mut(&id) else {
-        return;
-    };
-    match outcome {
-        Outcome::Done { frames, status, mark } => {
-            session.status = status;
-            if let Some(mark) = mark {
-                let floor = session.floor.entry(database.clone()).or_default();
-                *floor = mark.max(*floor);
-            }
-            fx.reply(id, vec![Reply::Frames(frames), Reply::Ready(status)]);
-        }
-        Outcome::NotRun(fault) | Outcome::Unknown(fault) => {
-            let status = session.status;
-            fx.reply(id, vec![Reply::Error { fault, fatal: false }, Reply::Ready(status)]);
-        }
-    }
+    queue::on_outcome(daemon, now, fx, id, database, outcome);
 }
 
 /// Ends sessions whose key is no longer good.
-pub fn on_config(_daemon: &mut Daemon, _now: Now, _fx: &mut Effects) {}
+pub fn on_config(daemon: &mut Daemon, now: Now, fx: &mut Effects) {
+    let sessions = daemon.session.sessions.iter();
+    let open = sessions.filter(|(_, session)| session.phase == Phase::Open);
+    let ended: Vec<(id::Session, Fault)> =
+        open.filter_map(|(id, session)| Some((*id, admitted(daemon, session).err()?))).collect();
+    for (id, fault) in ended {
+        end(daemon, now, fx, id, &fault);
+    }
+}
+
+/// Whether a session's key, or its open route, is still good.
+fn admitted(daemon: &Daemon, session: &Session) -> crate::code::Result<()> {
+    let snapshot = &daemon.config.snapshot;
+    if session.key.is_empty() {
+        return if route::open(snapshot, &session.workspace, &session.service) {
+            Ok(())
+        } else {
+            Err(Fault::new(Code::WrongKey, "the route is not open any more"))
+        };
+    }
+    let key = snapshot.keys.get(&session.key).map(|key| &key.value);
+    let good = key.is_some_and(|key| !key.withdrawn && key.workspace == session.workspace);
+    if good && snapshot.workspaces.contains_key(&session.workspace) {
+        return Ok(());
+    }
+    Err(Fault::new(Code::KeyWithdrawn, "the key was withdrawn"))
+}
 
 /// Acts on a login or idle timer.
-pub fn on_timer(_daemon: &mut Daemon, _now: Now, _fx: &mut Effects, _session: id::Session) {}
+pub fn on_timer(daemon: &mut Daemon, now: Now, fx: &mut Effects, id: id::Session) {
+    let Some(session) = daemon.session.sessions.get(&id) else { return };
+    if session.phase != Phase::Open {
+        let fault = Fault::new(Code::LoginTimeout, "the login was not completed in time");
+        return end(daemon, now, fx, id, &fault);
+    }
+    if daemon.draining {
+        return end(daemon, now, fx, id, &draining());
+    }
+    let bound = Duration::from_millis(daemon.settings.bounds.idle_ms);
+    let due = session.active + bound;
+    if due > now.mono || !session.queue.is_idle() {
+        return fx.arm(timer::Key::Idle(id), due.max(now.mono + bound / 2));
+    }
+    end(daemon, now, fx, id, &Fault::new(Code::IdleTimeout, "the session was idle for too long"));
+}
 
 /// Ends idle sessions and lets the others finish.
-pub fn drain(_daemon: &mut Daemon, _now: Now, _fx: &mut Effects) {}
+pub fn drain(daemon: &mut Daemon, now: Now, fx: &mut Effects) {
+    let bound = now.mono + Duration::from_millis(daemon.settings.bounds.drain_ms);
+    let sessions: Vec<id::Session> = daemon.session.sessions.keys().copied().collect();
+    for id in sessions {
+        let Some(session) = daemon.session.sessions.get(&id) else { continue };
+        match session.phase {
+            Phase::Open if !session.idle() => fx.arm(timer::Key::Idle(id), bound),
+            _ => end(daemon, now, fx, id, &draining()),
+        }
+    }
+}
+
+fn draining() -> Fault {
+    Fault::new(Code::Draining, "connect again to reach another daemon")
+}
--- a/crates/gcl-core/src/statement.rs
+++ b/crates/gcl-core/src/statement/mod.rs
@@ -1,7 +1,19 @@
 //! What a statement does, judged by its text.
 //!
 //! The judgement may be wrong without harm: what is judged a read runs where it cannot write, and a
-//! read-only violation sends it to the primary.
+//! read-only violation sends it to the primary. What a shared connection cannot carry is refused.
+
+mod classify;
+mod command;
+mod comment;
+mod lexer;
+mod pure;
+
+pub use self::{
+    classify::{Mix, Verdict, classify, judge},
+    command::{Command, Value},
+    comment::{assign, duration, leading},
+};
 
 use crate::id;
 use compact_str::CompactString;
@@ -43,15 +55,16 @@
     pub timeout: Option<Duration>,
 }
 
-/// Judges SQL text.
-#[must_use]
-pub fn classify(sql: &str) -> Class {
-    let word = sql.trim_start().split(|c: char| !c.is_ascii_alphabetic()).next().unwrap_or("");
-    match word.to_ascii_uppercase().as_str() {
-        "SELECT" | "VALUES" | "SHOW" | "TABLE" => Class::Read,
-        "BEGIN" | "START" => Class::Begin { read_only: false },
-        "COMMIT" | "END" => Class::Commit,
-        "ROLLBACK" | "ABORT" => Class::Rollback,
-        _ => Class::Write,
+impl Options {
+    /// These options where they are given, otherwise those of `session`.
+    #[must_use]
+    pub fn or(self, session: &Self) -> Self {
+        Self {
+            max_age: self.max_age.or(session.max_age),
+            repeatable: self.repeatable.or(session.repeatable),
+            request: self.request.or(session.request),
+            route: self.route.or_else(|| session.route.clone()),
+            timeout: self.timeout.or(session.timeout),
+        }
     }
 }
--- a/crates/gcl-core/tests/core/main.rs
+++ b/crates/gcl-core/tests/core/main.rs
@@ -12,3 +12,4 @@
 mod route;
 mod session;
 mod statement;
+mod token;
--- a/crates/gcl-core/tests/core/request.rs
+++ b/crates/gcl-core/tests/core/request.rs
@@ -15,8 +15,9 @@
     statement::{Class, Options},
     time::Now,
     timer,
+    token::Floor,
 };
-use indexmap::IndexMap;
+
 use std::time::Duration;
 use test_case::test_case;
 
@@ -40,7 +41,7 @@
         service: "orders-db".into(),
         class,
         options: Options::default(),
-        floor: IndexMap::default(),
+        floor: Floor::default(),
         variables: Vec::new(),
         batch: Batch::Simple("insert into t values (1)".to_owned()),
     }
--- /dev/null
+++ b/crates/gcl-core/tests/core/token.rs
@@ -0,0 +1,128 @@
+//! Tests of `gcl_core::token`.
+
+use base64::{Engine as _, engine::general_purpose::URL_SAFE_NO_PAD};
+use gcl_core::{code::Code, mark::Mark, token::Floor};
+use proptest::{
+    collection::{btree_map, vec},
+    prelude::*,
+    test_runner::RngSeed,
+};
+use sha2::{Digest as _, Sha256};
+use std::collections::BTreeMap;
+use test_case::test_case;
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        rng_seed: RngSeed::Fixed(31),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    }
+}
+
+fn seal(body: &[u8]) -> String {
+    let sum = Sha256::digest(body);
+    URL_SAFE_NO_PAD.encode([body, &sum[..4]].concat())
+}
+
+type Marks = BTreeMap<String, (u64, u64)>;
+
+fn marks() -> impl Strategy<Value = Marks> {
+    btree_map("[a-z0-9-]{1,63}", (1..=u64::MAX, any::<u64>()), 0..20)
+}
+
+fn floor(complete: bool, marks: &Marks) -> Floor {
+    let mut floor = if complete { Floor::fresh() } else { Floor::default() };
+    for (database, (term, position)) in marks {
+        floor.raise(&database.into(), Mark::new(*term, *position));
+    }
+    floor
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn a_token_says_the_same_at_every_entry(complete: bool, marks in marks()) {
+        let floor = floor(complete, &marks);
+        let read = Floor::decode(&floor.encode()).expect("a daemon made it");
+        prop_assert_eq!(&read, &floor);
+        let json = serde_json::to_string(&floor).expect("a token is text");
+        prop_assert_eq!(serde_json::from_str::<Floor>(&json).expect("it is read back"), floor);
+    }
+
+    #[test]
+    fn a_session_that_roams_never_loses_what_it_saw(
+        complete: bool, before in marks(), after in marks(),
+    ) {
+        let token = floor(complete, &before).encode();
+        let mut there = Floor::default();
+        there.adopt(&Floor::decode(&token).expect("a daemon made it"));
+        for (database, (term, position)) in &after {
+            there.raise(&database.into(), Mark::new(*term, *position));
+        }
+        for (database, (term, position)) in before.iter().chain(&after) {
+            let known = there.get(database).expect("it was seen");
+            prop_assert!(known >= Mark::new(*term, *position));
+        }
+        prop_assert_eq!(there.get("-unseen-"), complete.then(Mark::default));
+    }
+
+    #[test]
+    fn no_text_makes_the_decoder_panic(text in ".{0,300}") {
+        if let Ok(floor) = Floor::decode(&text) {
+            prop_assert!(text.is_empty() || floor.encode() == text);
+        }
+    }
+
+    #[test]
+    fn no_sealed_bytes_make_the_decoder_panic(mut body in vec(any::<u8>(), 0..200), seen: bool) {
+        if seen && body.len() > 3 {
+            body[..3].copy_from_slice(&[1, 0, 2]);
+        }
+        if let Ok(floor) = Floor::decode(&seal(&body)) {
+            prop_assert_eq!(floor.encode(), seal(&body));
+        }
+    }
+
+    #[test]
+    fn an_altered_token_is_refused(marks in marks(), at: prop::sample::Index, bit in 0..8_u32) {
+        let mut bytes = URL_SAFE_NO_PAD.decode(floor(true, &marks).encode()).expect("base64url");
+        let at = at.index(bytes.len());
+        bytes[at] ^= 1 << bit;
+        let altered = URL_SAFE_NO_PAD.encode(bytes);
+        prop_assert_eq!(Floor::decode(&altered).map_err(|fault| fault.code), Err(Code::BadToken));
+    }
+}
+
+#[test_case(&[2, 0, 0]; "another version")]
+#[test_case(&[1, 2, 0]; "another flag")]
+#[test_case(&[1, 0, 1]; "an entry missing")]
+#[test_case(&[1, 0, 0, 9]; "bytes left over")]
+#[test_case(&[1, 0, 1, 1, b'a', 0, 5]; "a position without a term")]
+#[test_case(&[1, 0, 1, 0, 1, 1]; "an empty name")]
+#[test_case(&[1, 0, 2, 1, b'a', 1, 1, 1, b'a', 1, 2]; "a database twice")]
+#[test_case(&[1, 0, 65]; "too many databases")]
+#[test_case(&[1, 0, 1, 1, b'a', 0x81, 0, 1]; "a padded number")]
+#[test_case(&[1, 0, 1, 1, 0xff, 1, 1]; "a name that is not text")]
+fn an_impossible_token_is_refused(body: &[u8]) {
+    let refused = Floor::decode(&seal(body)).map_err(|fault| fault.code);
+    assert_eq!(refused, Err(Code::BadToken));
+}
+
+#[test]
+fn a_token_that_is_too_long_is_refused() {
+    let refused = Floor::decode(&"A".repeat(8193)).map_err(|fault| fault.code);
+    assert_eq!(refused, Err(Code::BadToken));
+}
+
+#[test]
+fn what_no_longer_fits_is_unknown_and_the_token_stays_bounded() {
+    let mut floor = Floor::fresh();
+    for index in 0..65 {
+        floor.raise(&format!("{index:063}").as_str().into(), Mark::new(u64::MAX, u64::MAX));
+    }
+    assert_eq!(floor.get(&format!("{:063}", 0)), None);
+    let token = floor.encode();
+    assert!(token.len() <= gcl_core::token::TEXT_BYTES);
+    assert_eq!(Floor::decode(&token), Ok(floor));
+}
