feat(settings): say line and column of each fault, and tables of settings and codes

The parser compares the syntax tree with a schema, so that it finds every fault at once; reading into the structs alone stops at the first.

A token that cannot list a database no longer claims to be complete.

--- /dev/null
+++ b/crates/gcl-core/src/settings/check.rs
@@ -0,0 +1,79 @@
+//! What the fields of the settings demand of each other.
+
+use super::Settings;
+use indexmap::IndexSet;
+use std::net::SocketAddr;
+
+/// The path of the field to blame, and what is wrong.
+type Fault = (String, String);
+
+/// Checks the fields against each other.
+pub(super) fn check(settings: &Settings) -> Vec<Fault> {
+    let mut faults = Vec::new();
+    let mut fault = |path: &str, what: &str| faults.push((path.to_owned(), what.to_owned()));
+    ports(settings, &mut fault);
+    bounds(settings, &mut fault);
+    seeds(settings, &mut fault);
+    faults
+}
+
+fn ports(settings: &Settings, fault: &mut impl FnMut(&str, &str)) {
+    let listen = &settings.listen;
+    if open(listen.peer) {
+        match &settings.peer_tls {
+            None => fault("listen.peer", "a peer port beyond loopback needs peer_tls"),
+            Some(tls) if tls.authority.is_none() => {
+                fault("peer_tls", "peer_tls needs the authority that signs the other daemons");
+            }
+            Some(_) => {}
+        }
+    }
+    if open(listen.caller) && settings.caller_tls.is_none() && !settings.plain_caller {
+        let what = "a caller port beyond loopback needs caller_tls or plain_caller";
+        fault("listen.caller", what);
+    }
+    if open(listen.operator) && settings.operator_tls.is_none() && !settings.plain_operator {
+        let what = "an operator port beyond loopback needs operator_tls or plain_operator";
+        fault("listen.operator", what);
+    }
+    let ports = [listen.caller, listen.peer, listen.operator];
+    let fixed: Vec<&SocketAddr> = ports.iter().filter(|address| address.port() != 0).collect();
+    if fixed.iter().collect::<IndexSet<_>>().len() != fixed.len() {
+        fault("listen", "two ports share an address");
+    }
+    let advertised: Option<SocketAddr> =
+        settings.advertise.as_ref().and_then(|address| address.parse().ok());
+    if listen.peer.ip().is_unspecified() && advertised.is_none() {
+        fault("listen.peer", "a peer port on every address needs advertise");
+    }
+    if advertised.is_some_and(|address| address.ip().is_unspecified() || address.port() == 0) {
+        fault("advertise", "advertise is an address that others can dial");
+    }
+}
+
+fn open(address: SocketAddr) -> bool {
+    !address.ip().is_loopback()
+}
+
+fn bounds(settings: &Settings, fault: &mut impl FnMut(&str, &str)) {
+    let bounds = &settings.bounds;
+    if bounds.connections_per_address > bounds.connections {
+        let what = "connections_per_address is at most connections";
+        fault("bounds.connections_per_address", what);
+    }
+    if bounds.half_open > bounds.connections {
+        fault("bounds.half_open", "half_open is at most connections");
+    }
+    if bounds.transaction_idle_ms > bounds.idle_ms {
+        fault("bounds.transaction_idle_ms", "transaction_idle_ms is at most idle_ms");
+    }
+}
+
+fn seeds(settings: &Settings, fault: &mut impl FnMut(&str, &str)) {
+    let mut names = IndexSet::new();
+    for (index, seed) in settings.seeds.iter().enumerate() {
+        if !names.insert(&seed.daemon) {
+            fault(&format!("seeds[{index}]"), "a daemon is listed twice among the seeds");
+        }
+    }
+}
--- a/crates/gcl-core/src/settings.rs
+++ b/crates/gcl-core/src/settings/mod.rs
@@ -2,6 +2,12 @@
 //!
 //! What operators change while traffic runs is not here but in [`crate::config`].
 
+mod check;
+mod parse;
+pub mod schema;
+
+pub use self::parse::{Problem, Result, parse};
+
 use crate::id;
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
@@ -131,6 +137,12 @@
     /// Certificate of the operator port.
     #[serde(default)]
     pub operator_tls: Option<Tls>,
+    /// Whether the caller port may be reached beyond loopback without TLS.
+    #[serde(default)]
+    pub plain_caller: bool,
+    /// Whether the operator port may be reached beyond loopback without TLS.
+    #[serde(default)]
+    pub plain_operator: bool,
 }
 
 impl Settings {
--- /dev/null
+++ b/crates/gcl-core/src/settings/parse.rs
@@ -0,0 +1,211 @@
+//! Reads settings from JSON with comments and says where each fault is.
+
+use super::{
+    Settings, check,
+    schema::{Field, SETTINGS, Shape},
+};
+use indexmap::IndexMap;
+use jsonc_parser::{
+    CollectOptions, ParseOptions,
+    ast::{Object, Value},
+    common::Ranged as _,
+    parse_to_ast, parse_to_serde_value,
+};
+use std::{fmt, net::SocketAddr};
+
+/// Most bytes of a name.
+const NAME_BYTES: usize = 63;
+/// What the store's URL begins with.
+const SCHEME: &str = "http://";
+
+/// A fault of the settings.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Problem {
+    /// The line, counted from one.
+    pub line: usize,
+    /// The column in characters, counted from one.
+    pub column: usize,
+    /// What is wrong.
+    pub what: String,
+}
+
+impl fmt::Display for Problem {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}:{}: {}", self.line, self.column, self.what)
+    }
+}
+
+/// The settings, or every fault that was found.
+pub type Result<T> = std::result::Result<T, Vec<Problem>>;
+
+/// Reads settings from JSON with comments.
+///
+/// # Errors
+/// Every fault with its line and column, in the order of the text.
+pub fn parse(text: &str) -> Result<Settings> {
+    let options = strict();
+    let syntax = |error: &jsonc_parser::errors::ParseError| {
+        let problem = Problem {
+            line: error.line_display(),
+            column: error.column_display(),
+            what: error.kind().to_string(),
+        };
+        vec![problem]
+    };
+    let parsed = parse_to_ast(text, &CollectOptions::default(), &options);
+    let value = parsed.map_err(|error| syntax(&error))?.value;
+    let mut walk = Walk { text, problems: Vec::new(), places: IndexMap::new() };
+    match &value {
+        Some(Value::Object(object)) => walk.object("", object, SETTINGS),
+        Some(other) => walk.fault(other.start(), "the settings are an object".to_owned()),
+        None => walk.fault(0, "the settings are empty".to_owned()),
+    }
+    walk.finish()?;
+    let settings: Settings =
+        parse_to_serde_value(text, &options).map_err(|error| syntax(&error))?;
+    for (path, what) in check::check(&settings) {
+        let place = walk.places.get(path.as_str()).copied().unwrap_or(0);
+        walk.fault(place, what);
+    }
+    walk.finish()?;
+    Ok(settings)
+}
+
+/// JSON with comments and trailing commas, and nothing else beside.
+const fn strict() -> ParseOptions {
+    ParseOptions {
+        allow_comments: true,
+        allow_loose_object_property_names: false,
+        allow_trailing_commas: true,
+        allow_missing_commas: false,
+        allow_single_quoted_strings: false,
+        allow_hexadecimal_numbers: false,
+        allow_unary_plus_numbers: false,
+        allow_bare_decimal_point_numbers: false,
+        allow_non_finite_numbers: false,
+        allow_extended_string_escapes: false,
+    }
+}
+
+/// Compares a syntax tree with the schema.
+struct Walk<'a> {
+    text: &'a str,
+    /// Byte offsets and texts of the faults.
+    problems: Vec<(usize, String)>,
+    /// Byte offsets of the fields that were found, by path.
+    places: IndexMap<String, usize>,
+}
+
+impl Walk<'_> {
+    fn fault(&mut self, at: usize, what: String) {
+        self.problems.push((at, what));
+    }
+
+    /// Fails with the faults so far, in the order of the text.
+    fn finish(&mut self) -> Result<()> {
+        self.problems.sort_by_key(|(at, _)| *at);
+        if self.problems.is_empty() {
+            return Ok(());
+        }
+        Err(self.problems.iter().map(|(at, what)| problem(self.text, *at, what)).collect())
+    }
+
+    fn object(&mut self, prefix: &str, object: &Object<'_>, fields: &'static [Field]) {
+        let mut seen: Vec<&str> = Vec::new();
+        for property in &object.properties {
+            let name = property.name.as_str();
+            let path = format!("{prefix}{name}");
+            let at = property.range.start;
+            if seen.contains(&name) {
+                self.fault(at, format!("{path} is given twice"));
+                continue;
+            }
+            seen.push(name);
+            match fields.iter().find(|field| field.name == name) {
+                Some(field) => self.field(path, &property.value, field),
+                None => self.fault(at, format!("{path} is not a setting")),
+            }
+        }
+        for field in fields.iter().filter(|field| field.required && !seen.contains(&field.name)) {
+            self.fault(object.range.start, format!("{prefix}{} is missing", field.name));
+        }
+    }
+
+    fn field(&mut self, path: String, value: &Value<'_>, field: &'static Field) {
+        let at = value.start();
+        match (&field.shape, value) {
+            (_, Value::NullKeyword(_)) if !field.required && nullable(&field.shape) => {}
+            (Shape::Object(fields), Value::Object(object)) => {
+                self.object(&format!("{path}."), object, fields);
+            }
+            (Shape::List(fields), Value::Array(array)) => {
+                for (index, element) in array.elements.iter().enumerate() {
+                    let path = format!("{path}[{index}]");
+                    match element {
+                        Value::Object(object) => self.object(&format!("{path}."), object, fields),
+                        other => self.fault(other.start(), format!("{path} is an object")),
+                    }
+                    self.places.insert(path, element.start());
+                }
+            }
+            (shape, value) => {
+                if let Err(wanted) = scalar(shape, value) {
+                    self.fault(at, format!("{path} is {wanted}"));
+                }
+            }
+        }
+        self.places.insert(path, at);
+    }
+}
+
+/// Whether `null` stands for a field that is left out.
+const fn nullable(shape: &Shape) -> bool {
+    matches!(shape, Shape::Address | Shape::Path | Shape::Object(_))
+}
+
+/// Checks a single value; the error says what was wanted.
+fn scalar(shape: &Shape, value: &Value<'_>) -> std::result::Result<(), String> {
+    let text = value.as_string_lit().map(|text| text.value.as_ref());
+    let (good, wanted) = match shape {
+        Shape::Name => (text.is_some_and(is_name), NAME_WANTED.to_owned()),
+        Shape::Path => (text.is_some_and(|text| !text.is_empty()), "a path".to_owned()),
+        Shape::Address => (text.is_some_and(is_address), "an \"ip:port\"".to_owned()),
+        Shape::Url => (text.is_some_and(is_url), "a URL like \"http://ip:port\"".to_owned()),
+        Shape::Flag => (value.as_boolean_lit().is_some(), "true or false".to_owned()),
+        Shape::Object(_) => (false, "an object".to_owned()),
+        Shape::List(_) => (false, "a list".to_owned()),
+        Shape::Number { unit, range } => {
+            let number = value.as_number_lit().and_then(|number| number.value.parse().ok());
+            let good = number.is_some_and(|number: u64| range.contains(&number));
+            let (least, most) = (range.start(), range.end());
+            let unit = if unit.is_empty() { String::new() } else { format!(" {unit}") };
+            (good, format!("a whole number from {least} to {most}{unit}"))
+        }
+    };
+    if good { Ok(()) } else { Err(wanted) }
+}
+
+/// What a name has to be.
+const NAME_WANTED: &str = "a name of 1 to 63 letters, digits, dots, hyphens and underscores";
+
+fn is_name(text: &str) -> bool {
+    let good = |byte: u8| byte.is_ascii_alphanumeric() || matches!(byte, b'.' | b'-' | b'_');
+    (1..=NAME_BYTES).contains(&text.len()) && text.bytes().all(good)
+}
+
+fn is_address(text: &str) -> bool {
+    text.parse::<SocketAddr>().is_ok()
+}
+
+fn is_url(text: &str) -> bool {
+    let rest = text.strip_prefix(SCHEME).map(|rest| rest.trim_end_matches('/'));
+    rest.is_some_and(|rest| !rest.is_empty() && !rest.contains(['/', ' ', '?', '#', '@']))
+}
+
+fn problem(text: &str, at: usize, what: &str) -> Problem {
+    let before = text.get(..at).unwrap_or_default();
+    let line = before.matches('\n').count() + 1;
+    let start = before.rfind('\n').map_or(0, |end| end + 1);
+    let column = before.get(start..).unwrap_or_default().chars().count() + 1;
+    Problem { line, column, what: what.to_owned() }
+}
--- a/crates/gcl-core/src/token.rs
+++ b/crates/gcl-core/src/token.rs
@@ -85,9 +85,12 @@
     /// The token.
     #[must_use]
     pub fn encode(&self) -> String {
-        let mut bytes = vec![VERSION, if self.complete { COMPLETE } else { 0 }];
         let listed = self.marks.iter().filter(|(name, _)| name.len() <= NAME_BYTES);
-        bytes.push(u8::try_from(listed.clone().count()).unwrap_or(u8::MAX));
+        let count = listed.clone().count();
+        // What is not listed is unknown, never taken for unseen.
+        let complete = self.complete && count == self.marks.len();
+        let flags = if complete { COMPLETE } else { 0 };
+        let mut bytes = vec![VERSION, flags, u8::try_from(count).unwrap_or(u8::MAX)];
         for (name, mark) in listed {
             bytes.push(u8::try_from(name.len()).unwrap_or(u8::MAX));
             bytes.extend_from_slice(name.as_bytes());
--- a/crates/gcl-core/tests/core/fixture.rs
+++ b/crates/gcl-core/tests/core/fixture.rs
@@ -24,6 +24,8 @@
         caller_tls: None,
         peer_tls: None,
         operator_tls: None,
+        plain_caller: false,
+        plain_operator: false,
     }
 }
 
--- a/crates/gcl-core/tests/core/main.rs
+++ b/crates/gcl-core/tests/core/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the reducer and its parts, one module for each module of the crate.
 
+mod code;
 mod config;
 mod fixture;
 mod group;
@@ -11,5 +12,6 @@
 mod request;
 mod route;
 mod session;
+mod settings;
 mod statement;
 mod token;
