--- a/crates/gcl-core/src/config/transition.rs
+++ b/crates/gcl-core/src/config/transition.rs
@@ -61,15 +61,15 @@
 
 /// How long a service and workspace have to stand before keys may be opened elsewhere.
 fn left(daemon: &Daemon, now: Now, series: &Series, service: &str, workspace: &str) -> Duration {
-    if series.services.contains(service) || series.workspaces.contains(workspace) {
-        return settling_time(daemon);
-    }
     let snapshot = &daemon.config.snapshot;
     let removed = snapshot.removal("service", service) > 0;
     let known = removed || snapshot.services.contains_key(service);
     if !known {
         return Duration::ZERO;
     }
+    if series.services.contains(service) || series.workspaces.contains(workspace) {
+        return settling_time(daemon);
+    }
     let settled = &daemon.config.settled;
     let service = settled.services.get(service).copied().unwrap_or_default();
     let workspace = settled.workspaces.get(workspace).copied().unwrap_or_default();
@@ -108,9 +108,10 @@
         let none = Placement::default();
         let old = from.placements.get(service).unwrap_or(&none);
         let same = old.routes == new.routes;
-        for case in cases(from, to, if same { &relabelled } else { &[] }, same) {
+        for case in cases(from, to, &relabelled, same) {
             let left = left(daemon, now, series, service, case.workspace);
-            step(service, old, new, &case, left)?;
+            let created = created(&daemon.config.snapshot, case.workspace);
+            step(service, old, new, &case, created, left)?;
         }
         if !same {
             series.services.insert(service.clone());
@@ -125,8 +126,12 @@
     workspace: &'a str,
     before: Option<&'a Labels>,
     after: Option<&'a Labels>,
-    /// Whether the workspace never existed before.
-    created: bool,
+}
+
+/// Whether a workspace, named or not, never existed.
+fn created(snapshot: &Snapshot, name: &str) -> bool {
+    let known = snapshot.workspaces.contains_key(name) || snapshot.removal("workspace", name) > 0;
+    !name.is_empty() && !known
 }
 
 fn labels<'a>(snapshot: &'a Snapshot, name: &str) -> Option<&'a Labels> {
@@ -152,13 +157,12 @@
         workspace: name,
         before: labels(from, name),
         after: labels(to, name),
-        created: !from.workspaces.contains_key(name) && from.removal("workspace", name) == 0,
     };
     if same {
         return relabelled.iter().copied().map(case).collect();
     }
     let added = to.workspaces.keys().filter(|name| !from.workspaces.contains_key(*name));
-    let nobody = Case { workspace: "", before: None, after: None, created: false };
+    let nobody = Case { workspace: "", before: None, after: None };
     from.workspaces.keys().chain(added).map(case).chain([nobody]).collect()
 }
 
@@ -167,13 +171,14 @@
     old: &Placement,
     new: &Placement,
     case: &Case<'_>,
+    created: bool,
     left: Duration,
 ) -> Result<()> {
     let old = old.route(case.before);
     let new = new.route(case.after);
     match verdict(old, new) {
         Verdict::Now => Ok(()),
-        Verdict::Settled if case.created && old.is_none() => Ok(()),
+        Verdict::Settled if created && old.is_none() => Ok(()),
         Verdict::Settled if left.is_zero() => Ok(()),
         Verdict::Settled => {
             let detail = format_compact!(
--- a/crates/gcl-core/src/operation/plan.rs
+++ b/crates/gcl-core/src/operation/plan.rs
@@ -15,6 +15,8 @@
     time::Now,
 };
 use compact_str::{CompactString, format_compact};
+use indexmap::IndexSet;
+use std::cmp::Reverse;
 
 /// Most objects of one request.
 pub const MAX_OBJECTS: usize = 256;
@@ -198,15 +200,26 @@
     if plan.change.is_empty() {
         return Err(Fault::new(Code::BadObject, "the change has no name"));
     }
+    let keys: IndexSet<CompactString> =
+        plan.steps.iter().map(|step| key_of(&step.object)).collect();
+    if keys.len() < plan.steps.len() {
+        return Err(Fault::new(Code::BadObject, "an object occurs twice in one request"));
+    }
     plan.steps.sort_by_key(rank);
     Ok(plan)
 }
 
 /// Removals come first, from what refers to what is referred to; then the others the other way.
-fn rank(step: &Step) -> (bool, usize) {
+/// Rules come by falling priority, so that none takes over what another one of the request placed.
+fn rank(step: &Step) -> (bool, usize, Reverse<i32>) {
     let (kind, _) = identity(&step.object);
     let place = ORDER.iter().position(|known| *known == kind).unwrap_or_default();
-    if step.removed { (false, ORDER.len() - place) } else { (true, place) }
+    let priority = match &step.object {
+        Object::Rule(rule) => rule.priority,
+        _ => 0,
+    };
+    let place = if step.removed { ORDER.len() - place } else { place };
+    (!step.removed, place, Reverse(priority))
 }
 
 /// Checks a plan: each object, the references afterwards, and each step's move of route keys.
