feat(core): count rates and bursts over the fleet with seats and loans

Cause: the thin limiter admitted everything. Seats in the store now hold shares of a workspace's rate; daemons borrow ahead of demand, the lender debiting first and counting what it lent against its share of the burst.

Generated histories over a lossy network and a faulty store are compared with one global bucket that sees every request. A raise was first earned for the time before it took effect; the rate is now followed before minting.

Store calls that the limits make need an answer before the first request of a workspace is admitted, so the test fixture answers them from a fake store.

--- /dev/null
+++ b/crates/gcl-core/examples/limits.rs
@@ -0,0 +1,190 @@
+//! Measures the rate limits of a fleet of eight daemons: granted over entitled and wrongful
+//! refusals, beside a static split and a central counter.
+//!
+//! `cargo run --release -p gcl-core --example limits`
+
+#[path = "../tests/core/fixture.rs"]
+#[expect(dead_code, reason = "the tests use more of it")]
+mod fixture;
+#[path = "../tests/core/limit/fleet.rs"]
+#[expect(dead_code, reason = "the tests use more of it")]
+mod fleet;
+#[path = "../tests/core/platform.rs"]
+mod platform;
+
+use fleet::{Fleet, Global};
+use gcl_core::random::Random;
+use std::time::Duration;
+
+/// Failure domains and regions of the daemons.
+const PLACES: [(&str, &str); 8] = [
+    ("almaty-a", "almaty"),
+    ("almaty-b", "almaty"),
+    ("astana-a", "astana"),
+    ("almaty-a", "almaty"),
+    ("almaty-b", "almaty"),
+    ("astana-a", "astana"),
+    ("almaty-a", "almaty"),
+    ("almaty-b", "almaty"),
+];
+/// Workspaces with rate and burst.
+const WORKSPACES: [(&str, u32, u32); 3] =
+    [("large", 2_000, 2_000), ("middle", 200, 200), ("small", 20, 20)];
+/// Length of a run.
+const RUN: Duration = Duration::from_mins(1);
+/// When the fault begins.
+const FAULT: Duration = Duration::from_secs(20);
+/// Demand of a calm workspace as a part of its rate.
+const CALM: f64 = 0.7;
+/// Demand of a noisy workspace as a part of its rate.
+const NOISY: f64 = 5.0;
+/// Time for a central counter to answer, one way, from another region.
+const CENTRAL_LATENCY: Duration = Duration::from_millis(8);
+
+/// One situation.
+struct Case {
+    name: &'static str,
+    weights: [u64; 8],
+    noisy: bool,
+    fault: fn(&mut Fleet),
+    store_down: bool,
+    lost: Option<usize>,
+}
+
+const fn nothing(_fleet: &mut Fleet) {}
+
+const fn outage(fleet: &mut Fleet) {
+    fleet.faults.outage = true;
+}
+
+fn lose_one(fleet: &mut Fleet) {
+    fleet.kill(3);
+}
+
+fn cases() -> Vec<Case> {
+    let even = [1; 8];
+    let skewed = [40, 20, 10, 5, 4, 3, 2, 1];
+    let (fault, lost) = (nothing as fn(&mut Fleet), None);
+    let calm =
+        Case { name: "calm, even", weights: even, noisy: false, fault, store_down: false, lost };
+    vec![
+        Case { name: "calm, skewed", weights: skewed, ..calm },
+        Case { name: "one workspace at 5x", weights: skewed, noisy: true, ..calm },
+        Case { name: "store outage", weights: skewed, fault: outage, store_down: true, ..calm },
+        Case { name: "a daemon lost", weights: skewed, fault: lose_one, lost: Some(3), ..calm },
+        calm,
+    ]
+}
+
+fn demand(case: &Case, workspace: &str, rate: u32) -> f64 {
+    let part = if case.noisy && workspace == "middle" { NOISY } else { CALM };
+    f64::from(rate) * part
+}
+
+fn main() {
+    println!("situation | workspace | limiter | granted/entitled | wrongful | peak over burst");
+    println!("--- | --- | --- | --- | --- | ---");
+    for case in cases() {
+        borrowing(&case);
+        for (workspace, rate, burst) in WORKSPACES {
+            static_split(&case, workspace, rate, burst);
+            central(&case, workspace, rate, burst);
+        }
+    }
+}
+
+#[expect(clippy::cast_precision_loss, reason = "counts are far below 2^52")]
+fn report(case: &Case, workspace: &str, limiter: &str, counts: [u64; 4], over: f64) {
+    let [asked, granted, entitled, wrongful] = counts;
+    let share = granted as f64 / entitled as f64;
+    let wrong = 100.0 * wrongful as f64 / asked as f64;
+    println!("{} | {workspace} | {limiter} | {share:.4} | {wrong:.3} % | {over:.2}", case.name);
+}
+
+fn borrowing(case: &Case) {
+    let mut fleet = Fleet::new(&PLACES, &WORKSPACES, 42);
+    for (workspace, rate, _) in WORKSPACES {
+        fleet.traffic(workspace, demand(case, workspace, rate), &case.weights, RUN.as_secs());
+    }
+    fleet.run_until(FAULT);
+    (case.fault)(&mut fleet);
+    fleet.run_until(RUN + Duration::from_secs(2));
+    for (workspace, tally) in &fleet.tallies {
+        let counts = [tally.asked, tally.granted, tally.entitled, tally.wrongful];
+        report(case, workspace, "borrowing seats", counts, (-tally.lowest).max(0.0));
+    }
+    let (writes, reads) = (fleet.platform.writes, fleet.platform.reads);
+    let messages = fleet.messages / RUN.as_secs() / PLACES.len() as u64;
+    println!(
+        "{} | all | calls | {writes} writes, {reads} reads | {messages} messages/s a daemon |",
+        case.name
+    );
+}
+
+/// The arrivals of a workspace: time and daemon.
+fn arrivals(case: &Case, workspace: &str, rate: u32) -> Vec<(Duration, usize)> {
+    let mut random = Random::new(43);
+    let (mut at, mut list) = (Duration::ZERO, Vec::new());
+    let total: u64 = case.weights.iter().sum();
+    while at < RUN {
+        #[expect(clippy::cast_precision_loss, reason = "a fraction of 53 bits")]
+        let uniform = (random.next() >> 11) as f64 / (1_u64 << 53) as f64;
+        at += Duration::from_secs_f64(-(1.0 - uniform).ln() / demand(case, workspace, rate));
+        let mut draw = random.below(total);
+        let node = case.weights.iter().position(|weight| {
+            let here = draw < *weight;
+            draw = draw.saturating_sub(*weight);
+            here
+        });
+        let node = node.unwrap_or(0);
+        let gone = case.lost == Some(node) && at >= FAULT;
+        list.push((at, if gone { node + 1 } else { node }));
+    }
+    list
+}
+
+/// Replays arrivals against a limiter, told by `take`.
+fn replay(
+    case: &Case,
+    (workspace, rate, burst): (&str, u32, u32),
+    limiter: &str,
+    mut take: impl FnMut(Duration, usize) -> bool,
+) {
+    let (mut ideal, mut oracle) = (Global::new(rate, burst), Global::new(rate, burst));
+    let (mut counts, mut lowest) = ([0; 4], f64::MAX);
+    for (at, node) in arrivals(case, workspace, rate) {
+        counts[0] += 1;
+        counts[2] += u64::from(ideal.take(at));
+        let level = oracle.fill(at);
+        if take(at, node) {
+            counts[1] += 1;
+            oracle.level -= 1.0;
+            lowest = lowest.min(oracle.level);
+        } else {
+            counts[3] += u64::from(level >= 1.0);
+        }
+    }
+    report(case, workspace, limiter, counts, (-lowest).max(0.0));
+}
+
+/// Each daemon has an eighth of the rate and of the burst, whatever comes.
+fn static_split(case: &Case, workspace: &str, rate: u32, burst: u32) {
+    let parts = 8.0;
+    let part = Global {
+        rate: f64::from(rate) / parts,
+        burst: f64::from(burst) / parts,
+        level: f64::from(burst) / parts,
+        at: Duration::ZERO,
+    };
+    let mut buckets = vec![part; PLACES.len()];
+    replay(case, (workspace, rate, burst), "static split", |at, node| buckets[node].take(at));
+}
+
+/// Every request asks one counter in the store, which refuses all while it is down.
+fn central(case: &Case, workspace: &str, rate: u32, burst: u32) {
+    let mut bucket = Global::new(rate, burst);
+    replay(case, (workspace, rate, burst), "central counter", |at, _| {
+        let down = case.store_down && at >= FAULT;
+        !down && bucket.take(at + CENTRAL_LATENCY)
+    });
+}
--- a/crates/gcl-core/src/state.rs
+++ b/crates/gcl-core/src/state.rs
@@ -88,7 +88,7 @@
             member: member::State::default(),
             session: session::State::default(),
             request: request::State::default(),
-            limit: limit::State,
+            limit: limit::State::default(),
             home: home::State::default(),
             group: group::State::default(),
             anchor: record::anchor::State::default(),
--- a/crates/gcl-core/tests/core/fixture.rs
+++ b/crates/gcl-core/tests/core/fixture.rs
@@ -1,13 +1,16 @@
 //! Daemons and times for the tests.
 
+use crate::platform::Platform;
 use gcl_core::{
     config::object::Object,
+    effect::{Effect, Effects},
+    limit,
     member::Member,
     settings::{Bounds, Listen, Settings},
     state::State,
     time::Now,
 };
-use std::time::Duration;
+use std::{collections::VecDeque, time::Duration};
 
 /// Settings of a daemon in a failure domain, with ports that nothing listens on.
 pub fn settings(daemon: &str, domain: &str, region: &str) -> Settings {
@@ -59,9 +62,27 @@
             state.member.members.insert(name.into(), member);
         }
     }
+    seat(&mut state, "altyn");
     state
 }
 
+/// Lets a daemon claim the seats of a workspace.
+pub fn seat(state: &mut State, workspace: &str) {
+    let mut platform = Platform::default();
+    let mut fx = Effects::default();
+    limit::start(state, at(0), &mut fx);
+    let _ = limit::admit(state, at(0), &mut fx, &workspace.into(), 0);
+    let mut calls = VecDeque::from(fx.take());
+    while let Some(effect) = calls.pop_front() {
+        if let Effect::Store(call) = effect
+            && let Some(event) = platform.answer(Duration::ZERO, &call)
+        {
+            limit::on_store(state, at(0), &mut fx, &event);
+            calls.extend(fx.take());
+        }
+    }
+}
+
 /// A service of one database with three servers in two failure domains, a workspace and its key.
 pub fn objects() -> Vec<Object> {
     let text = r#"[
--- /dev/null
+++ b/crates/gcl-core/tests/core/limit/history.rs
@@ -0,0 +1,186 @@
+//! Histories of faults: never above rate and burst, and close to them in calm.
+
+use super::fleet::{Faults, Fleet};
+use proptest::{
+    prelude::*,
+    test_runner::{Config, RngSeed},
+};
+use std::time::Duration;
+use test_case::test_case;
+
+const PLACES: [(&str, &str); 8] = [
+    ("a", "north"),
+    ("b", "north"),
+    ("c", "south"),
+    ("a", "north"),
+    ("b", "north"),
+    ("c", "south"),
+    ("a", "north"),
+    ("b", "north"),
+];
+/// Room for the rounding of the oracle's floating-point numbers.
+const ROUNDING: f64 = 1e-6;
+
+const fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn check(fleet: &Fleet) -> Result<(), TestCaseError> {
+    for (workspace, tally) in &fleet.tallies {
+        prop_assert!(tally.lowest >= -ROUNDING, "{workspace} is over by {}", -tally.lowest);
+    }
+    Ok(())
+}
+
+/// Something that goes wrong at a time.
+#[derive(Clone, Debug)]
+enum Fault {
+    Network { loss: u64, repeat: u64, delay: u64 },
+    LostAnswers(u64),
+    Outage(bool),
+    Stop { node: usize, ms: u64, frozen: bool },
+    Kill(usize),
+    Restart(usize),
+    Drain(usize),
+}
+
+fn fault() -> impl Strategy<Value = Fault> {
+    let node = 0..PLACES.len();
+    prop_oneof![
+        (0_u64..300, 0_u64..300, 0_u64..300).prop_map(|(loss, repeat, delay)| Fault::Network {
+            loss,
+            repeat,
+            delay
+        }),
+        (0_u64..500).prop_map(Fault::LostAnswers),
+        any::<bool>().prop_map(Fault::Outage),
+        (node.clone(), 50_u64..20_000, any::<bool>()).prop_map(|(node, ms, frozen)| Fault::Stop {
+            node,
+            ms,
+            frozen
+        }),
+        node.clone().prop_map(Fault::Kill),
+        node.clone().prop_map(Fault::Restart),
+        node.prop_map(Fault::Drain),
+    ]
+}
+
+fn apply(fleet: &mut Fleet, fault: &Fault) {
+    match *fault {
+        Fault::Network { loss, repeat, delay } => {
+            fleet.faults = Faults { loss, repeat, delay, ..fleet.faults };
+        }
+        Fault::LostAnswers(lost_answers) => fleet.faults.lost_answers = lost_answers,
+        Fault::Outage(outage) => fleet.faults.outage = outage,
+        Fault::Stop { node, ms: time, frozen } => fleet.stop(node, ms(time), frozen),
+        Fault::Kill(node) => fleet.kill(node),
+        Fault::Restart(node) => fleet.restart(node),
+        Fault::Drain(node) => fleet.drain(node),
+    }
+}
+
+proptest! {
+    #![proptest_config(Config {
+        cases: 40,
+        rng_seed: RngSeed::Fixed(0x11417),
+        failure_persistence: None,
+        ..Config::default()
+    })]
+
+    #[test]
+    fn never_above_rate_and_burst(
+        seed in any::<u64>(),
+        rate in 20_u32..120,
+        burst in 1_u32..150,
+        load in 0.5_f64..3.0,
+        weights in prop::collection::vec(1_u64..50, PLACES.len()),
+        faults in prop::collection::vec((0_u64..3_000, fault()), 0..12),
+    ) {
+        let mut fleet = Fleet::new(&PLACES, &[("ws", rate, burst)], seed);
+        fleet.traffic("ws", f64::from(rate) * load, &weights, 20);
+        for (wait, fault) in &faults {
+            let at = fleet.now + ms(*wait);
+            fleet.run_until(at);
+            check(&fleet)?;
+            apply(&mut fleet, fault);
+        }
+        fleet.run_until(Duration::from_mins(1));
+        check(&fleet)?;
+    }
+}
+
+/// The share granted of what one global bucket would have granted, and of wrongful refusals.
+fn measure(load: f64, weights: &[u64], act: impl Fn(&mut Fleet)) -> (f64, f64) {
+    let mut fleet = Fleet::new(&PLACES, &[("ws", 200, 200)], 11);
+    fleet.traffic("ws", 200.0 * load, weights, 30);
+    fleet.run_until(Duration::from_secs(8));
+    act(&mut fleet);
+    fleet.run_until(Duration::from_secs(32));
+    let tally = &fleet.tallies["ws"];
+    assert!(tally.lowest >= -ROUNDING, "over by {}", -tally.lowest);
+    #[expect(clippy::cast_precision_loss, reason = "counts are small")]
+    let share = |part: u64, whole: u64| part as f64 / whole as f64;
+    (share(tally.granted, tally.entitled), share(tally.wrongful, tally.asked))
+}
+
+#[test_case(&[1, 1, 1, 1, 1, 1, 1, 1]; "even")]
+#[test_case(&[40, 1, 1, 1, 1, 1, 1, 1]; "one busy daemon")]
+#[test_case(&[0, 0, 9, 0, 0, 1, 0, 0]; "one busy region")]
+fn calm_traffic_is_hardly_refused(weights: &[u64]) {
+    let (granted, wrongful) = measure(0.7, weights, |_| {});
+    assert!(granted >= 0.97, "{granted} of what is due");
+    assert!(wrongful < 0.005, "{wrongful} refused wrongly");
+}
+
+#[test]
+fn an_outage_costs_a_small_part() {
+    let (granted, wrongful) = measure(0.7, &[8, 4, 2, 1, 1, 1, 1, 1], |fleet| {
+        fleet.faults.outage = true;
+    });
+    assert!(granted >= 0.95, "{granted} of what is due");
+    assert!(wrongful < 0.05, "{wrongful} refused wrongly");
+}
+
+#[test]
+fn a_raise_waits_and_a_lowering_does_not() {
+    let all: Vec<_> = (0..PLACES.len()).collect();
+    let mut fleet = Fleet::new(&PLACES, &[("ws", 100, 20)], 3);
+    fleet.traffic("ws", 400.0, &[1; 8], 30);
+    fleet.run_until(ms(5_000));
+    fleet.change("ws", 40, 8, &all);
+    fleet.tallies["ws"].oracle.change(ms(5_000), 40, 20);
+    fleet.run_until(ms(10_000));
+    fleet.change("ws", 100, 20, &all);
+    let before = fleet.tallies["ws"].granted;
+    fleet.run_until(ms(14_000));
+    let at_old_rate = fleet.tallies["ws"].granted - before;
+    assert!(at_old_rate <= 4 * 40 + 20, "{at_old_rate} before the raise is known everywhere");
+    fleet.run_until(ms(15_000));
+    fleet.tallies["ws"].oracle.change(ms(15_000), 100, 20);
+    fleet.run_until(ms(30_000));
+    assert!(fleet.tallies["ws"].lowest >= -ROUNDING);
+}
+
+/// The seats of a daemon that is gone for good move, ten minutes later.
+#[test]
+fn seats_of_a_daemon_that_is_gone_move() {
+    let mut fleet = Fleet::new(&PLACES[..3], &[("ws", 30, 30)], 5);
+    fleet.traffic("ws", 50.0, &[1, 1, 1], 900);
+    fleet.run_until(Duration::from_secs(20));
+    fleet.kill(2);
+    for node in 0..2 {
+        fleet.nodes[node].state.member.members.swap_remove("d2");
+    }
+    let granted = |fleet: &Fleet| fleet.tallies["ws"].granted;
+    fleet.run_until(Duration::from_mins(5));
+    let before = granted(&fleet);
+    fleet.run_until(Duration::from_mins(6));
+    let without = granted(&fleet) - before;
+    fleet.run_until(Duration::from_mins(14));
+    let before = granted(&fleet);
+    fleet.run_until(Duration::from_mins(15));
+    let after = granted(&fleet) - before;
+    assert!(without < 60 * 27, "{without} while the reserves are bound");
+    assert!(after > 60 * 29, "{after} once they have moved");
+    assert!(fleet.tallies["ws"].lowest >= -ROUNDING);
+}
--- /dev/null
+++ b/crates/gcl-core/tests/core/limit/mod.rs
@@ -0,0 +1,5 @@
+//! Tests of `gcl_core::limit`.
+
+mod bucket;
+mod fleet;
+mod history;
--- a/crates/gcl-core/tests/core/main.rs
+++ b/crates/gcl-core/tests/core/main.rs
@@ -7,6 +7,7 @@
 mod key;
 mod limit;
 mod member;
+mod platform;
 mod reduce;
 mod request;
 mod route;
