--- a/crates/gcl-core/tests/core/main.rs
+++ b/crates/gcl-core/tests/core/main.rs
@@ -9,6 +9,7 @@
 mod limit;
 mod member;
 mod operation;
+mod platform;
 mod reduce;
 mod request;
 mod route;
