--- /dev/null
+++ b/crates/gcl-core/examples/failover.rs
@@ -0,0 +1,191 @@
+//! Measures failover in simulated time.
+//!
+//! `failover histories N` runs N generated histories of faults over three homes and prints how many
+//! broke a promise. `failover gap N` prints the time without acknowledged writes after a primary is
+//! killed, isolated, frozen or moved, beside a baseline that promotes after a fixed time-out
+//! without fencing.
+
+#[path = "../tests/core/group/server.rs"]
+mod server;
+#[path = "../tests/core/group/world.rs"]
+mod world;
+
+use gcl_core::{random::Random, server::Ask};
+use std::{
+    sync::atomic::{AtomicU64, Ordering},
+    thread,
+};
+use world::{Fault, World};
+
+/// Threads that share the histories.
+const THREADS: u64 = 4;
+/// Time in milliseconds until a new group takes writes.
+const BOOT_MS: u64 = 3_000;
+/// The baseline's time-out in milliseconds.
+const BASELINE_TIMEOUT_MS: u64 = 2_000;
+/// The baseline's time between questions in milliseconds.
+const BASELINE_POLL_MS: u64 = 500;
+/// The baseline's time between writes in milliseconds.
+const BASELINE_WRITE_MS: u64 = 6;
+
+fn main() {
+    let mut arguments = std::env::args().skip(1);
+    let mode = arguments.next().unwrap_or_default();
+    let count = arguments.next().and_then(|count| count.parse().ok()).unwrap_or(1_000);
+    match mode.as_str() {
+        "histories" => histories(count),
+        "gap" => gaps(count),
+        "one" => {
+            println!("{:?}", history(count).faults);
+        }
+        _ => println!("usage: failover histories|gap N"),
+    }
+}
+
+fn histories(count: u64) {
+    let next = AtomicU64::new(0);
+    let (unsafe_count, writes) = (AtomicU64::new(0), AtomicU64::new(0));
+    let (served, refused) = (AtomicU64::new(0), AtomicU64::new(0));
+    thread::scope(|scope| {
+        for _ in 0..THREADS {
+            scope.spawn(|| {
+                loop {
+                    let seed = next.fetch_add(1, Ordering::Relaxed);
+                    if seed >= count {
+                        return;
+                    }
+                    let world = history(seed);
+                    let acknowledged = u64::try_from(world.acknowledged.len()).unwrap_or(0);
+                    writes.fetch_add(acknowledged, Ordering::Relaxed);
+                    served.fetch_add(world.reads.0, Ordering::Relaxed);
+                    refused.fetch_add(world.reads.1, Ordering::Relaxed);
+                    if !world.faults.is_empty() {
+                        unsafe_count.fetch_add(1, Ordering::Relaxed);
+                        println!("seed {seed}: {}", world.faults[0]);
+                    }
+                }
+            });
+        }
+    });
+    println!(
+        "histories {count}, unsafe {}, acknowledged writes {}, replica reads {} served {} refused",
+        unsafe_count.into_inner(),
+        writes.into_inner(),
+        served.into_inner(),
+        refused.into_inner()
+    );
+}
+
+fn history(seed: u64) -> World {
+    let mut random = Random::new(seed ^ 0x5eed);
+    let mut world = World::new(seed);
+    for _ in 0..=random.below(8) {
+        let at = 1_000 + random.below(3_000);
+        let fault = fault(&mut random);
+        world.plan(at, fault);
+    }
+    world.run(5_000);
+    world.conclude();
+    world
+}
+
+fn fault(random: &mut Random) -> Fault {
+    let mut below = |bound: u64| usize::try_from(random.below(bound)).unwrap_or(0);
+    let (one, from, to, kind) = (below(3), below(6), below(6), below(12));
+    let ms = 50 + random.below(2_500);
+    match kind {
+        0 => Fault::Cut(from, to),
+        1 => Fault::Isolate(one),
+        2 => Fault::Heal,
+        3 => Fault::KillServer(one),
+        4 => Fault::StartServer(one),
+        5 => Fault::FreezeServer(one, ms),
+        6 => Fault::FreezeDaemon(one, ms),
+        7 => Fault::KillDaemon(one),
+        8 => Fault::StartDaemon(one),
+        9 => Fault::Lag(one, ms / 3),
+        10 => Fault::Switch(one),
+        _ => Fault::Noise(ms % 20),
+    }
+}
+
+fn gaps(count: u64) {
+    println!("case, p50 ms, p99 ms, most ms, runs, unsafe");
+    for name in ["kill", "isolate", "freeze", "move"] {
+        let mut gaps = Vec::new();
+        let mut broken = 0;
+        for seed in 0..count {
+            let (gap, whole) = gap(name, seed);
+            gaps.push(gap);
+            broken += u64::from(!whole);
+        }
+        print(name, &mut gaps, broken);
+    }
+    for name in ["kill", "isolate"] {
+        let mut gaps = Vec::new();
+        let mut lost = 0;
+        for seed in 0..count {
+            let (gap, missing) = baseline(name == "kill", seed);
+            gaps.push(gap);
+            lost += u64::from(missing > 0);
+        }
+        print(&format!("baseline {name}"), &mut gaps, lost);
+    }
+}
+
+fn print(name: &str, gaps: &mut [u64], broken: u64) {
+    gaps.sort_unstable();
+    let at = |share: usize| gaps[(gaps.len() * share / 100).min(gaps.len() - 1)] / 1000;
+    println!("{name}, {}, {}, {}, {}, {broken}", at(50), at(99), at(100), gaps.len());
+}
+
+fn gap(name: &str, seed: u64) -> (u64, bool) {
+    let mut world = World::new(seed);
+    let extra = world.random.below(1_000);
+    world.run(BOOT_MS + extra);
+    let Some(primary) = world.primary() else {
+        return (u64::MAX, false);
+    };
+    let from = world.clock;
+    let fault = match name {
+        "kill" => Fault::KillServer(primary),
+        "isolate" => Fault::Isolate(primary),
+        "freeze" => Fault::FreezeServer(primary, 60_000),
+        _ => Fault::Switch((primary + 1) % 3),
+    };
+    world.plan(0, fault);
+    world.run(8_000);
+    let gap = world.gap(from);
+    world.conclude();
+    (gap, world.faults.is_empty())
+}
+
+/// Promotion after a fixed time-out, without fencing and without a majority: the gap in
+/// microseconds and how many acknowledged writes the new primary lacks.
+fn baseline(killed: bool, seed: u64) -> (u64, usize) {
+    let mut random = Random::new(seed);
+    let mut old = server::Server::default();
+    let mut replica = server::Server::default();
+    let _ = (old.answer(&Ask::Fence(1)), old.answer(&Ask::Promote(1)));
+    let follow = Ask::Follow {
+        term: 1,
+        server: "old".into(),
+        address: "127.0.0.1:1".parse().expect("the address is well formed"),
+    };
+    let _ = replica.answer(&follow);
+    let failed = 1_000 + random.below(1_000);
+    let noticed = failed + random.below(BASELINE_POLL_MS);
+    let promoted = noticed + BASELINE_TIMEOUT_MS;
+    let mut acknowledged = Vec::new();
+    for ms in (0..promoted).step_by(usize::try_from(BASELINE_WRITE_MS).unwrap_or(1)) {
+        if ms < failed {
+            replica.pull(&old.clone());
+        }
+        if ms < failed || !killed {
+            acknowledged.push((old.write(ms + 1), ms + 1));
+        }
+    }
+    let missing = acknowledged.iter().filter(|(mark, value)| !replica.shows(*mark, *value));
+    let first = promoted + 16 + random.below(BASELINE_WRITE_MS);
+    ((first - failed) * 1000, missing.count())
+}
--- a/crates/gcl-core/src/group/horizon.rs
+++ b/crates/gcl-core/src/group/horizon.rs
@@ -126,6 +126,15 @@
     settle(daemon, now, fx, &database);
 }
 
+/// The moment of this daemon's clock whose acknowledged writes a replica surely has, if any is
+/// proven. A home that notes it at a statement's start can judge the age at the statement's end.
+#[must_use]
+pub fn proven(daemon: &Daemon, server: &id::Server) -> Option<Duration> {
+    let config = daemon.config.snapshot.server(server)?;
+    let group = daemon.group.groups.get(&config.database)?;
+    group.horizon.applied.get(server).map(|horizon| horizon.asked)
+}
+
 /// Whether a replica may still serve a read that it was ready for: its home asks again before the
 /// statement starts, since time in a queue adds to the age.
 #[must_use]
--- a/crates/gcl-core/src/group/mod.rs
+++ b/crates/gcl-core/src/group/mod.rs
@@ -29,7 +29,7 @@
 
 pub use self::{
     choose::{avoid, choose},
-    horizon::{fresh, ready},
+    horizon::{fresh, proven, ready},
     report::{Sight, on_report, on_trouble},
     round::{hold, prove, writable},
     switch::switch,
--- a/crates/gcl-core/src/group/round.rs
+++ b/crates/gcl-core/src/group/round.rs
@@ -159,6 +159,10 @@
             None => group.round.current.push(proof),
         }
     }
+    let late = |proof: &mut Proof| proof.deadline <= now.mono;
+    for proof in group.round.next.extract_if(.., late) {
+        ended.push((proof.waiter, Err(unproven("no majority answered"))));
+    }
     for (waiter, proof) in ended {
         tell(daemon, now, fx, database, waiter, proof);
     }
