fix(backend): answer every batch exactly once and mark only what it did

A batch queued behind one that was lost, or sent while its connection ended, got no event: it is answered as lost and not sent now. A batch for a connection that the server had closed was reported as sent; the socket is asked first. A refused write carried the mark of an earlier one, so that it could not be rerouted; an answer with an error carries a mark only if the mark moved. A reset discards everything of the session.

--- a/crates/gcl-backend/src/data.rs
+++ b/crates/gcl-backend/src/data.rs
@@ -56,6 +56,15 @@
     Close,
 }
 
+impl Command {
+    fn into_run(self) -> Option<Box<Run>> {
+        match self {
+            Self::Run(run) => Some(run),
+            Self::Cancel | Self::Reset | Self::Close => None,
+        }
+    }
+}
+
 /// A connection that cannot be used any more.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Broken {
@@ -103,6 +112,8 @@
     key: CancelKey,
     commands: UnboundedReceiver<Command>,
     waiting: VecDeque<Command>,
+    /// The mark when the present batch began.
+    before: Option<Mark>,
     cancels: JoinSet<io::Result<()>>,
 }
 
@@ -110,32 +121,33 @@
 pub async fn serve(start: Start) {
     let (shared, events) = (Arc::clone(&start.shared), start.events.clone());
     let (server, connection) = (start.server.clone(), start.connection);
-    let last = match login::open(&shared.options, start.address, Purpose::Data).await {
+    let login = login::open(&shared.options, start.address, Purpose::Data).await;
+    let (last, mut waiting, commands) = match login {
         Ok(login) => {
             // Without a receiver the daemon is going down.
             let _ = events.send((server.clone(), Event::Opened(connection)));
-            Data::new(start, login).serve().await
+            let mut data = Data::new(start, login);
+            let last = data.serve().await;
+            (last, data.waiting, data.commands)
         }
         Err(error) => {
             let full = matches!(error, login::Error::Full);
-            lose_waiting(start);
-            Event::Failed { connection, full }
+            (Event::Failed { connection, full }, VecDeque::new(), start.commands)
         }
     };
     shared.forget(connection);
+    waiting.extend(drain(commands));
+    // Those come first: a batch that never left is known not to have run.
+    for run in waiting.into_iter().filter_map(Command::into_run) {
+        let (request, ended) = (run.request, Ended::Lost { sent: false });
+        let _ = events.send((server.clone(), Event::Ended { connection, request, ended }));
+    }
     let _ = events.send((server, last));
 }
 
-/// Answers the batches that were sent ahead of a connection that did not open.
-fn lose_waiting(mut start: Start) {
-    start.commands.close();
-    while let Ok(command) = start.commands.try_recv() {
-        if let Command::Run(run) = command {
-            let (connection, ended) = (start.connection, Ended::Lost { sent: false });
-            let event = Event::Ended { connection, request: run.request, ended };
-            let _ = start.events.send((start.server.clone(), event));
-        }
-    }
+/// What is left in a channel that nobody sends to any more.
+fn drain(mut commands: UnboundedReceiver<Command>) -> Vec<Command> {
+    std::iter::from_fn(|| commands.try_recv().ok()).collect()
 }
 
 impl Data {
@@ -153,12 +165,13 @@
             key: login.key,
             commands: start.commands,
             waiting: VecDeque::new(),
+            before: login.mark,
             cancels: JoinSet::new(),
         }
     }
 
     /// Serves commands; returns the connection's last event.
-    async fn serve(mut self) -> Event {
+    async fn serve(&mut self) -> Event {
         let connection = self.connection;
         loop {
             let last = match self.next().await {
@@ -227,6 +240,10 @@
     }
 
     async fn run(&mut self, run: &Run) -> Result<Ended> {
+        self.before = self.mark;
+        if self.link.is_closed() {
+            return Err(Broken { sent: false });
+        }
         if let Some((name, _)) = run.variables.iter().find(|(name, _)| !prelude::is_name(name)) {
             let message = format!("invalid name of a session variable: {name}");
             return Ok(self.refusal("42602", &message));
@@ -406,7 +423,7 @@
 
     async fn reset(&mut self) -> Result<()> {
         let mut plan = Plan::default();
-        let mut statements = vec!["RESET ALL"];
+        let mut statements = vec!["DISCARD ALL"];
         if self.session.status != Status::Idle {
             statements.insert(0, "ROLLBACK");
         }
@@ -420,13 +437,16 @@
             return Err(Broken { sent: false });
         }
         self.session.reset();
+        self.cache.clear();
         Ok(())
     }
 
     /// The event's account of an answer.
     pub fn ended(&self, part: Part) -> Ended {
         let status = part.status;
-        let mark = self.mark.filter(|_| status == Status::Idle);
+        let moved = self.mark != self.before;
+        let told = status == Status::Idle && (part.error.is_none() || moved);
+        let mark = self.mark.filter(|_| told);
         if part.too_large {
             return Ended::TooLarge { status, mark };
         }
--- a/crates/gcl-backend/src/wire.rs
+++ b/crates/gcl-backend/src/wire.rs
@@ -3,7 +3,8 @@
 use bytes::{Buf, BytesMut};
 use gcl_core::batch::Frame;
 use postgres_protocol::message::backend::{Header, Message};
-use std::io;
+use socket2::SockRef;
+use std::{io, mem::MaybeUninit};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
@@ -103,6 +104,16 @@
         }
     }
 
+    /// Whether the other side has hung up and said nothing more.
+    ///
+    /// Asks the socket itself: the runtime may not have heard of it yet.
+    pub fn is_closed(&self) -> bool {
+        match SockRef::from(&self.stream).peek(&mut [MaybeUninit::uninit()]) {
+            Ok(read) => read == 0,
+            Err(error) => error.kind() != io::ErrorKind::WouldBlock,
+        }
+    }
+
     /// Sends all of `output`.
     pub async fn write(&mut self, output: &mut BytesMut) -> Result<()> {
         self.stream.write_all_buf(output).await
--- a/crates/gcl-backend/tests/backend/control.rs
+++ b/crates/gcl-backend/tests/backend/control.rs
@@ -14,7 +14,7 @@
     let mut bench = Bench::start().await;
     let report = bench.ask(Ask::Status).await.expect("a report");
     assert_eq!((report.term, report.role), (1, Role::Primary));
-    assert_eq!(report, bench.server.report());
+    assert_eq!(report, bench.server().report());
     let refused = bench.ask(Ask::Fence(1)).await;
     assert_eq!(refused, Err(Refusal::Refused(report.clone())), "not strictly higher");
     let refused = bench.ask(Ask::Promote(2)).await;
@@ -52,7 +52,7 @@
 #[tokio::test]
 async fn a_lost_answer_is_reported_and_the_line_reopened() {
     let mut bench = Bench::start().await;
-    bench.server.inject(Fault::LoseReports(1));
+    bench.server().inject(Fault::LoseReports(1));
     let lost = bench.ask(Ask::Fence(2)).await;
     assert!(matches!(lost, Err(Refusal::Lost(_))), "{lost:?}");
     let report = bench.ask(Ask::Status).await.expect("a new line");
@@ -62,13 +62,13 @@
 #[tokio::test]
 async fn a_frozen_server_answers_nothing_and_recovers() {
     let mut bench = Bench::start().await;
-    bench.server.inject(Fault::Freeze);
+    bench.server().inject(Fault::Freeze);
     let asked = bench.question(Ask::Status, Duration::from_millis(50));
     let Event::Answered { question, result: Err(Refusal::Lost(_)) } = bench.event().await else {
         panic!("no answer comes");
     };
     assert_eq!(question, asked);
-    bench.server.heal();
+    bench.server().heal();
     bench.ask(Ask::Status).await.expect("the server is back");
 }
 
@@ -76,10 +76,10 @@
 async fn a_crashed_server_is_reached_again_with_its_log() {
     let mut bench = Bench::start().await;
     let before = bench.ask(Ask::Status).await.expect("a report");
-    bench.server.inject(Fault::Crash);
+    bench.server().inject(Fault::Crash);
     let lost = bench.ask(Ask::Status).await;
     assert!(matches!(lost, Err(Refusal::Lost(_))), "{lost:?}");
-    bench.server.heal();
+    bench.server().heal();
     let report = loop {
         if let Ok(report) = bench.ask(Ask::Status).await {
             break report;
--- a/crates/gcl-backend/tests/backend/data.rs
+++ b/crates/gcl-backend/tests/backend/data.rs
@@ -215,7 +215,7 @@
 #[tokio::test]
 async fn a_server_that_refuses_is_not_full() {
     let mut bench = Bench::start().await;
-    bench.server.inject(Fault::Refuse);
+    bench.server().inject(Fault::Refuse);
     bench.call(Call::Open { connection: 99, address: bench.address });
     assert_eq!(bench.event().await, Event::Failed { connection: 99, full: false });
 }
@@ -224,13 +224,13 @@
 async fn cancel_stops_a_statement_and_not_the_next() {
     let mut bench = Bench::start().await;
     let connection = bench.open().await;
-    bench.server.inject(Fault::Slow(Duration::from_mins(1)));
+    bench.server().inject(Fault::Slow(Duration::from_mins(1)));
     let request = bench.start_run(connection, simple("SELECT 1"));
-    bench.server.running(1).await;
+    bench.server().running(1).await;
     bench.call(Call::Cancel(connection));
     let answer = answered(bench.ended(request).await);
     assert_eq!(answer.error.as_deref(), Some("57014"));
-    bench.server.heal();
+    bench.server().heal();
     assert_eq!(bench.sql(connection, "SELECT 1").await.column(), ["1"]);
 }
 
@@ -239,7 +239,7 @@
     let mut bench = Bench::start().await;
     let connection = bench.open().await;
     bench.sql(connection, CREATE).await;
-    bench.server.inject(Fault::LoseCommits(1));
+    bench.server().inject(Fault::LoseCommits(1));
     let ended = bench.run(connection, simple("INSERT INTO booking VALUES (1, 'x')")).await;
     assert_eq!(ended, Ended::Lost { sent: true });
     let ended = bench.run(connection, simple("SELECT 1")).await;
@@ -253,10 +253,10 @@
 async fn a_crash_closes_what_is_idle_and_loses_what_runs() {
     let mut bench = Bench::start().await;
     let (idle, busy) = (bench.open().await, bench.open().await);
-    bench.server.inject(Fault::Slow(Duration::from_mins(1)));
+    bench.server().inject(Fault::Slow(Duration::from_mins(1)));
     let request = bench.start_run(busy, simple("SELECT 1"));
-    bench.server.running(1).await;
-    bench.server.inject(Fault::Crash);
+    bench.server().running(1).await;
+    bench.server().inject(Fault::Crash);
     let ended = Event::Ended { connection: busy, request, ended: Ended::Lost { sent: true } };
     let events = [bench.event().await, bench.event().await];
     assert!(events.contains(&Event::Closed(idle)) && events.contains(&ended), "{events:?}");
@@ -266,7 +266,7 @@
 async fn closing_under_a_batch_loses_it() {
     let mut bench = Bench::start().await;
     let connection = bench.open().await;
-    bench.server.inject(Fault::Freeze);
+    bench.server().inject(Fault::Freeze);
     let request = bench.start_run(connection, simple("SELECT 1"));
     bench.call(Call::Close(connection));
     let ended = bench.ended(request).await;
@@ -278,7 +278,7 @@
     let options = Options { reset_timeout: Duration::from_millis(50), ..Options::default() };
     let mut bench = Bench::with(database::Options::default(), options).await;
     let connection = bench.open().await;
-    bench.server.inject(Fault::IsolateClients);
+    bench.server().inject(Fault::IsolateClients);
     bench.call(Call::Reset(connection));
     assert_eq!(bench.event().await, Event::Reset { connection, clean: false });
 }
@@ -287,7 +287,7 @@
 async fn late_answers_go_to_their_requests() {
     let mut bench = Bench::start().await;
     let connections = [bench.open().await, bench.open().await];
-    bench.server.inject(Fault::Late(Duration::from_millis(30)));
+    bench.server().inject(Fault::Late(Duration::from_millis(30)));
     let first = bench.start_run(connections[0], simple("SELECT 1"));
     let second = bench.start_run(connections[1], simple("SELECT 2"));
     let third = bench.start_run(connections[0], simple("SELECT 3"));
@@ -304,3 +304,53 @@
         assert_eq!(answered(ended).column(), [expected]);
     }
 }
+
+#[tokio::test]
+async fn a_refused_write_has_no_mark() {
+    let mut bench = Bench::start().await;
+    let connection = bench.open().await;
+    bench.sql(connection, CREATE).await;
+    let insert = || simple("INSERT INTO booking VALUES (1, 'x')");
+    let refused = [
+        crate::fixture::Run { read_only: true, ..insert() },
+        crate::fixture::Run { term: Some(2), ..insert() },
+        crate::fixture::Run { term: Some(2), idempotency: Some(7), ..insert() },
+    ];
+    for run in refused {
+        let answer = answered(bench.run(connection, run).await);
+        assert_eq!((answer.error.as_deref(), answer.mark), (Some("25006"), None));
+    }
+    let answer = bench.sql(connection, "BEGIN; SELECT 1; COMMIT; SELECT id FROM nowhere").await;
+    assert_eq!(answer.mark, None, "nothing was committed");
+    let script = "BEGIN; INSERT INTO booking VALUES (1, 'x'); COMMIT; SELECT id FROM nowhere";
+    let run = crate::fixture::Run { term: Some(1), ..simple(script) };
+    let answer = answered(bench.run(connection, run).await);
+    assert_eq!((answer.error.as_deref(), answer.mark), (Some("42P01"), Some(Mark::new(1, 3))));
+}
+
+#[tokio::test]
+async fn a_batch_behind_one_that_was_lost_is_answered() {
+    let mut bench = Bench::start().await;
+    let connection = bench.open().await;
+    bench.server().inject(Fault::Slow(Duration::from_mins(1)));
+    let first = bench.start_run(connection, simple("SELECT 1"));
+    bench.server().running(1).await;
+    let second = bench.start_run(connection, simple("SELECT 2"));
+    bench.server().inject(Fault::Crash);
+    let ended = |request, sent| Event::Ended { connection, request, ended: Ended::Lost { sent } };
+    let events = [bench.event().await, bench.event().await];
+    assert!(events.contains(&ended(first, true)), "{events:?}");
+    assert!(events.contains(&ended(second, false)), "{events:?}");
+}
+
+#[tokio::test]
+async fn a_reset_forgets_the_statements_of_the_session() {
+    let mut bench = Bench::start().await;
+    let connection = bench.open().await;
+    for _ in 0..2 {
+        let answer = answered(bench.run(connection, extended("SELECT 1", &[])).await);
+        assert_eq!((answer.kinds.as_str(), answer.error), ("12TDC", None));
+        bench.call(Call::Reset(connection));
+        assert_eq!(bench.event().await, Event::Reset { connection, clean: true });
+    }
+}
--- a/crates/gcl-backend/tests/backend/fixture.rs
+++ b/crates/gcl-backend/tests/backend/fixture.rs
@@ -22,7 +22,7 @@
 
 /// A server and a client to it.
 pub struct Bench {
-    pub server: Server,
+    server: Option<Server>,
     pub client: Client,
     pub address: SocketAddr,
     events: UnboundedReceiver<(id::Server, Event)>,
@@ -46,9 +46,26 @@
 
     /// A client to a server as it is.
     pub fn to(server: Server, client: Options) -> Self {
+        let bench = Self::at_with(server.address(), client);
+        Self { server: Some(server), ..bench }
+    }
+
+    /// A client to whatever listens at an address.
+    pub fn at(address: SocketAddr) -> Self {
+        let options = Options { open_timeout: Duration::from_millis(500), ..Options::default() };
+        Self::at_with(address, options)
+    }
+
+    /// A client with options to whatever listens at an address.
+    pub fn at_with(address: SocketAddr, options: Options) -> Self {
         let (sender, events) = unbounded_channel();
-        let address = server.address();
-        Self { server, client: Client::new(client, sender), address, events, counter: 0 }
+        let client = Client::new(options, sender);
+        Self { server: None, client, address, events, counter: 0 }
+    }
+
+    /// The stand-in.
+    pub fn server(&self) -> &Server {
+        self.server.as_ref().expect("the bench has a stand-in")
     }
 
     /// The next event.
@@ -57,6 +74,11 @@
         event.expect("an event comes in time").expect("the client lives").1
     }
 
+    /// An event that has come already.
+    pub fn try_event(&mut self) -> Option<Event> {
+        self.events.try_recv().ok().map(|event| event.1)
+    }
+
     /// Calls the server.
     pub fn call(&self, call: Call) {
         self.client.call("s".into(), call);
--- a/crates/gcl-backend/tests/backend/idempotent.rs
+++ b/crates/gcl-backend/tests/backend/idempotent.rs
@@ -29,7 +29,7 @@
         let answer = answered(bench.run(connection, with_id(simple(INSERT), 7)).await);
         assert_eq!((answer.kinds.as_str(), answer.status), ("C", Status::Idle));
         assert_eq!(answer.tags(), ["INSERT 0 1"]);
-        assert_eq!(answer.mark, Some(bench.server.report().applied));
+        assert_eq!(answer.mark, Some(bench.server().report().applied));
     }
     assert_eq!(count(&mut bench, connections[0]).await, "1");
 }
@@ -53,7 +53,7 @@
     let connection = bench.open().await;
     bench.sql(connection, CREATE).await;
     bench.run(connection, with_id(simple(INSERT), 1)).await;
-    bench.server.inject(Fault::LoseCommits(1));
+    bench.server().inject(Fault::LoseCommits(1));
     let ended = bench.run(connection, with_id(simple(INSERT), 2)).await;
     assert_eq!(ended, Ended::Lost { sent: true });
     let other = bench.open().await;
@@ -98,7 +98,7 @@
         bench.sql(connection, INSERT).await;
         let answer = answered(bench.run(connection, with_id(simple("COMMIT"), 7)).await);
         assert_eq!((answer.tags(), answer.status), (vec!["COMMIT".into()], Status::Idle));
-        assert_eq!((answer.error, answer.mark), (None, Some(bench.server.report().applied)));
+        assert_eq!((answer.error, answer.mark), (None, Some(bench.server().report().applied)));
     }
     assert_eq!(count(&mut bench, connection).await, "1");
 }
@@ -116,5 +116,5 @@
     let pinned = Run { term: Some(1), ..with_id(simple(INSERT), 8) };
     let answer = answered(bench.run(connection, pinned).await);
     assert_eq!(answer.error.as_deref(), Some("25006"));
-    assert_eq!(bench.server.report().received, Mark::new(1, 2));
+    assert_eq!(bench.server().report().received, Mark::new(1, 2));
 }
--- a/crates/gcl-backend/tests/backend/main.rs
+++ b/crates/gcl-backend/tests/backend/main.rs
@@ -2,5 +2,6 @@
 
 mod control;
 mod data;
+mod fake;
 mod fixture;
 mod idempotent;
