--- a/crates/gcl-standin/tests/standin/main.rs
+++ b/crates/gcl-standin/tests/standin/main.rs
@@ -1,3 +1,4 @@
 //! Tests of the stand-ins.
 
 mod database;
+mod history;
