fix(standin): let reads go on beside a writer, and freeze statements that run

A read while another session wrote failed with 'database is locked': the shared in-memory file of SQLite takes no reader beside a writer. The data is held twice now, and a commit is run again in the copy that reads see. A statement that was running when the server was frozen made its effect during the freeze. Expressions of parameters and inserts without columns get their types.

--- a/crates/gcl-standin/src/database/engine.rs
+++ b/crates/gcl-standin/src/database/engine.rs
@@ -5,11 +5,8 @@
     sql::{self, Text},
     value::{self, Value, oid},
 };
-use rusqlite::{Connection, ErrorCode, OpenFlags, ffi};
-use std::sync::atomic::{AtomicU64, Ordering};
+use rusqlite::{Connection, ErrorCode, ffi};
 
-/// Numbers the databases of this process.
-static NEXT: AtomicU64 = AtomicU64::new(0);
 /// Statements that each connection keeps prepared.
 const CACHED: usize = 256;
 
@@ -63,7 +60,11 @@
     pub changed: u64,
 }
 
-/// One database in memory.
+/// One database in memory, held twice: as the writing transaction sees it and as it was committed.
+///
+/// What commits in the one is run again in the other, so that reads neither wait for the writer nor
+/// see what it has not committed. Statements have to be deterministic for that, as they do for the
+/// log.
 #[derive(Debug)]
 pub struct Engine {
     write: Connection,
@@ -76,17 +77,10 @@
     /// # Errors
     /// What `SQLite` reports.
     pub fn open() -> Result<Self> {
-        let name = NEXT.fetch_add(1, Ordering::Relaxed);
-        let uri = format!("file:/standin-{name}?vfs=memdb");
-        let flags = OpenFlags::SQLITE_OPEN_READ_WRITE
-            | OpenFlags::SQLITE_OPEN_CREATE
-            | OpenFlags::SQLITE_OPEN_URI
-            | OpenFlags::SQLITE_OPEN_NO_MUTEX;
-        let open = || Connection::open_with_flags(&uri, flags).map_err(|error| report(&error));
+        let open = || Connection::open_in_memory().map_err(|error| report(&error));
         let (write, read) = (open()?, open()?);
         write.set_prepared_statement_cache_capacity(CACHED);
         read.set_prepared_statement_cache_capacity(CACHED);
-        read.execute_batch("PRAGMA query_only = on").map_err(|error| report(&error))?;
         Ok(Self { write, read })
     }
 
@@ -98,15 +92,20 @@
         self.write.execute_batch("BEGIN IMMEDIATE").map_err(|error| report(&error))
     }
 
-    /// Commits the open transaction.
+    /// Commits the open transaction, which ran `statements`.
     ///
     /// # Errors
     /// What `SQLite` reports; the transaction is rolled back then.
-    pub fn commit(&self) -> Result<()> {
-        self.write.execute_batch("COMMIT").map_err(|error| {
+    pub fn commit(&self, statements: &[Statement]) -> Result<()> {
+        let committed = self.write.execute_batch("COMMIT").map_err(|error| report(&error));
+        if committed.is_err() {
             self.rollback();
-            report(&error)
-        })
+            return committed;
+        }
+        if let Err(error) = replay(&self.read, statements) {
+            tracing::error!(?error, "a committed transaction is not shown to reads");
+        }
+        Ok(())
     }
 
     /// Rolls the open transaction back, if any.
@@ -122,11 +121,8 @@
     /// # Errors
     /// What `SQLite` reports.
     pub fn apply(&self, statements: &[Statement]) -> Result<()> {
-        self.begin()?;
-        for statement in statements {
-            self.run(&statement.sql, &statement.parameters, true)?;
-        }
-        self.commit()
+        replay(&self.write, statements)?;
+        replay(&self.read, statements)
     }
 
     /// Whether a statement cannot change data.
@@ -151,7 +147,7 @@
             let cast = text.casts.iter().find(|cast| cast.number == number + 1);
             let cast = cast.and_then(|cast| value::declared(&cast.kind));
             let hint = hints.iter().find(|hint| hint.number == number + 1);
-            let hint = hint.and_then(|hint| self.column_kind(&hint.column));
+            let hint = hint.and_then(|hint| self.hinted_kind(&hint.column));
             stated.or(cast).or(hint).unwrap_or(oid::TEXT)
         };
         let count = parameter_count(&statement).max(declared.len());
@@ -160,8 +156,8 @@
         drop(statement);
         let mut shape = Shape { parameters, columns, read_only };
         if read_only && shape.columns.iter().any(|column| column.kind == 0) {
-            let nulls = vec![Value::Null; count];
-            let probe = self.run(&text.sql, &nulls, false).unwrap_or_default();
+            let samples: Vec<Value> = shape.parameters.iter().map(|kind| sample(*kind)).collect();
+            let probe = self.run(&text.sql, &samples, false).unwrap_or_default();
             refine(&mut shape.columns, probe.rows.first());
         }
         refine(&mut shape.columns, None);
@@ -175,11 +171,7 @@
     pub fn run(&self, sql: &str, parameters: &[Value], write: bool) -> Result<Rows> {
         let connection = if write { &self.write } else { &self.read };
         let mut statement = connection.prepare_cached(sql).map_err(|error| report(&error))?;
-        for index in 1..=statement.parameter_count() {
-            let number = statement.parameter_name(index).and_then(sql::parameter).unwrap_or(index);
-            let value = parameters.get(number - 1).unwrap_or(&Value::Null);
-            statement.raw_bind_parameter(index, value).map_err(|error| report(&error))?;
-        }
+        bind(&mut statement, parameters)?;
         let mut columns = self.columns(&statement);
         let before = connection.total_changes();
         let width = statement.column_count();
@@ -199,12 +191,25 @@
         let column = |column: rusqlite::Column<'_>| {
             let name = column.name().to_owned();
             let kind = column.decl_type().and_then(value::declared);
-            let kind = kind.or_else(|| (!statement.readonly()).then(|| self.column_kind(&name))?);
+            let kind = kind.or_else(|| self.column_kind(of_extreme(&name).unwrap_or(&name)));
             Column { name, kind: kind.unwrap_or(0) }
         };
         statement.columns().map(column).collect()
     }
 
+    fn hinted_kind(&self, column: &sql::Column) -> Option<u32> {
+        match column {
+            sql::Column::Named(name) => self.column_kind(name),
+            sql::Column::Nth { table, index } => {
+                let find = "SELECT type FROM pragma_table_info(?1) WHERE cid = ?2";
+                let mut statement = self.write.prepare_cached(find).ok()?;
+                let index = i64::try_from(*index).ok()?;
+                let kind = statement.query_row((table, index), |row| row.get::<_, String>(0));
+                value::declared(&kind.ok()?)
+            }
+        }
+    }
+
     fn column_kind(&self, name: &str) -> Option<u32> {
         if name.eq_ignore_ascii_case("limit") || name.eq_ignore_ascii_case("offset") {
             return Some(oid::INT8);
@@ -217,6 +222,50 @@
     }
 }
 
+/// Runs the statements of a transaction that committed elsewhere.
+fn replay(connection: &Connection, statements: &[Statement]) -> Result<()> {
+    if statements.is_empty() {
+        return Ok(());
+    }
+    let execute = |sql| connection.execute_batch(sql).map_err(|error| report(&error));
+    execute("BEGIN")?;
+    let ran = statements.iter().try_for_each(|statement| {
+        let prepared = connection.prepare_cached(&statement.sql);
+        let mut prepared = prepared.map_err(|error| report(&error))?;
+        bind(&mut prepared, &statement.parameters)?;
+        let mut rows = prepared.raw_query();
+        while rows.next().map_err(|error| report(&error))?.is_some() {}
+        Ok(())
+    });
+    execute(if ran.is_ok() { "COMMIT" } else { "ROLLBACK" })?;
+    ran
+}
+
+fn bind(statement: &mut rusqlite::Statement<'_>, parameters: &[Value]) -> Result<()> {
+    for index in 1..=statement.parameter_count() {
+        let number = statement.parameter_name(index).and_then(sql::parameter).unwrap_or(index);
+        let value = parameters.get(number - 1).unwrap_or(&Value::Null);
+        statement.raw_bind_parameter(index, value).map_err(|error| report(&error))?;
+    }
+    Ok(())
+}
+
+/// A value of a type, to find out what an expression makes of it.
+const fn sample(kind: u32) -> Value {
+    match kind {
+        oid::BOOL | oid::INT2 | oid::INT4 | oid::INT8 => Value::Integer(0),
+        oid::FLOAT4 | oid::FLOAT8 => Value::Real(0.5),
+        oid::BYTEA => Value::Blob(Vec::new()),
+        _ => Value::Text(String::new()),
+    }
+}
+
+/// The column of a `max` or `min`, whose type it has.
+fn of_extreme(name: &str) -> Option<&str> {
+    let inner = ["max(", "min("].iter().find_map(|function| name.strip_prefix(function))?;
+    inner.strip_suffix(')')
+}
+
 fn parameter_count(statement: &rusqlite::Statement<'_>) -> usize {
     let number = |index| statement.parameter_name(index).and_then(sql::parameter).unwrap_or(index);
     (1..=statement.parameter_count()).map(number).max().unwrap_or(0)
@@ -236,7 +285,7 @@
 
 fn is_number(name: &str) -> bool {
     let name = name.to_ascii_lowercase();
-    ["count(", "sum(", "max(", "min("].iter().any(|function| name.starts_with(function))
+    ["count(", "sum("].iter().any(|function| name.starts_with(function))
 }
 
 fn report(error: &rusqlite::Error) -> Error {
--- a/crates/gcl-standin/src/database/fault.rs
+++ b/crates/gcl-standin/src/database/fault.rs
@@ -80,6 +80,12 @@
         }
     }
 
+    /// Whether the server stands still.
+    #[must_use]
+    pub const fn frozen(&self) -> bool {
+        self.frozen
+    }
+
     /// Whether bytes pass between the server and a peer.
     #[must_use]
     pub const fn passes(&self, peer: Peer) -> bool {
--- a/crates/gcl-standin/src/database/node.rs
+++ b/crates/gcl-standin/src/database/node.rs
@@ -249,7 +249,7 @@
         }
         self.writer = None;
         let written = std::mem::take(&mut self.written);
-        self.engine.commit()?;
+        self.engine.commit(&written)?;
         let mark = self.log.append(self.term, written);
         self.applied = mark.position;
         Ok(mark)
--- a/crates/gcl-standin/src/database/session.rs
+++ b/crates/gcl-standin/src/database/session.rs
@@ -281,6 +281,7 @@
         if !delay.is_zero() {
             shared.signal();
             tokio::time::sleep(delay).await;
+            shared.thaw().await;
         }
         let mut node = shared.node();
         if reads {
--- a/crates/gcl-standin/src/database/shared.rs
+++ b/crates/gcl-standin/src/database/shared.rs
@@ -153,6 +153,13 @@
         let _ = faults.wait_for(|faults| faults.passes(peer)).await;
     }
 
+    /// Waits while the server stands still.
+    pub async fn thaw(&self) {
+        let mut faults = self.faults.subscribe();
+        // The sender lives in `self`, so the wait cannot fail.
+        let _ = faults.wait_for(|faults| !faults.frozen()).await;
+    }
+
     /// Takes one of the answers that are to be lost; false if none is.
     pub fn lose(&self, count: fn(&mut Faults) -> &mut u64) -> bool {
         self.faults.send_if_modified(|faults| {
--- a/crates/gcl-standin/src/database/sql.rs
+++ b/crates/gcl-standin/src/database/sql.rs
@@ -9,13 +9,27 @@
     pub kind: String,
 }
 
+/// A column, as a statement points at it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Column {
+    /// By its name.
+    Named(String),
+    /// By its place in a table, from zero.
+    Nth {
+        /// The table's name.
+        table: String,
+        /// The place.
+        index: usize,
+    },
+}
+
 /// A column that a parameter is stored in or compared with.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Hint {
     /// The parameter's number.
     pub number: usize,
-    /// The column's name.
-    pub column: String,
+    /// The column.
+    pub column: Column,
 }
 
 /// One statement, without casts.
@@ -116,16 +130,16 @@
             _ => None,
         };
         if let Some(column) = column {
-            hints.push(Hint { number, column: literal(column) });
+            hints.push(Hint { number, column: Column::Named(literal(column)) });
         }
     }
     hints
 }
 
-/// Matches `INSERT INTO t (a, b) VALUES ($1, $2)` by place.
+/// Matches `INSERT INTO t (a, b) VALUES ($1, $2)` by place, with or without the columns.
 fn insert_hints(tokens: &[&str]) -> Vec<Hint> {
     let find = |word: &str| tokens.iter().position(|token| token.eq_ignore_ascii_case(word));
-    let (Some(_), Some(values)) = (find("INSERT"), find("VALUES")) else {
+    let (Some(into), Some(values)) = (find("INTO"), find("VALUES")) else {
         return Vec::new();
     };
     let inside = |tokens: &[&str]| -> Vec<String> {
@@ -135,12 +149,17 @@
         list.filter(|token| **token != ",").map(|token| (*token).to_owned()).collect()
     };
     let columns = inside(&tokens[..values]);
+    let table = tokens.get(into + 1).map(|table| literal(table)).unwrap_or_default();
     let tuples = tokens[values..].split(|token| *token == "(").skip(1);
     let tuple = |tuple: &[&str]| -> Vec<Hint> {
         let fields = tuple.split(|token| *token == "," || *token == ")");
         let hint = |(index, field): (usize, &[&str])| {
             let number = field.first().copied().and_then(parameter)?;
-            let column = literal(columns.get(index)?);
+            let column = if columns.is_empty() {
+                Column::Nth { table: table.clone(), index }
+            } else {
+                Column::Named(literal(columns.get(index)?))
+            };
             Some(Hint { number, column })
         };
         fields.enumerate().filter_map(hint).collect()
--- a/crates/gcl-standin/tests/standin/database.rs
+++ b/crates/gcl-standin/tests/standin/database.rs
@@ -1,65 +1,10 @@
 //! The database stand-in, met by an ordinary driver.
 
+use crate::fixture::{ask, connect, follow, group};
 use gcl_core::{mark::Mark, server::Role};
-use gcl_standin::database::{Boot, Lag, Options, Server, fault::Fault, settings::Settings};
+use gcl_standin::database::{Boot, Lag, Server, fault::Fault, settings::Settings};
 use std::time::Duration;
-use tokio_postgres::{Client, Config, NoTls, SimpleQueryMessage, error::SqlState};
-
-const CONTROL: &str = "-c goldcrest.control=on";
-
-async fn connect(server: &Server, options: &str) -> Client {
-    try_connect(server, options).await.expect("the server accepts connections")
-}
-
-async fn try_connect(
-    server: &Server,
-    options: &str,
-) -> std::result::Result<Client, tokio_postgres::Error> {
-    let address = server.address();
-    let mut config = Config::new();
-    config.host(address.ip().to_string()).port(address.port()).user("caller").options(options);
-    let (client, connection) = config.connect(NoTls).await?;
-    tokio::spawn(connection);
-    Ok(client)
-}
-
-/// The columns of the first row of a question on a control connection.
-async fn ask(server: &Server, call: &str) -> Vec<String> {
-    let client = connect(server, CONTROL).await;
-    let messages = client.simple_query(&format!("SELECT * FROM {call}")).await;
-    first_row(&messages.expect("the question is answered"))
-}
-
-fn first_row(messages: &[SimpleQueryMessage]) -> Vec<String> {
-    let row = messages.iter().find_map(|message| match message {
-        SimpleQueryMessage::Row(row) => Some(row),
-        _ => None,
-    });
-    let row = row.expect("a row is returned");
-    (0..row.len()).map(|index| row.get(index).unwrap_or("null").to_owned()).collect()
-}
-
-/// Starts servers, fences and promotes the first, and has the others follow it.
-async fn group(count: usize) -> Vec<Server> {
-    let mut servers = Vec::new();
-    for index in 0..count {
-        let options = Options { name: format!("s{index}"), ..Options::default() };
-        servers.push(Server::start(options).await.expect("a port is free"));
-    }
-    for server in &servers {
-        assert_eq!(ask(server, "goldcrest_fence(1)").await[0], "t");
-    }
-    assert_eq!(ask(&servers[0], "goldcrest_promote(1)").await[2], "primary");
-    for server in &servers[1..] {
-        follow(server, 1, &servers[0]).await;
-    }
-    servers
-}
-
-async fn follow(server: &Server, term: u64, primary: &Server) {
-    let call = format!("goldcrest_follow({term}, 'p', '{}')", primary.address());
-    assert_eq!(ask(server, &call).await[0], "t");
-}
+use tokio_postgres::{Client, error::SqlState};
 
 async fn count(client: &Client) -> i64 {
     client.query_one("SELECT count(*) FROM booking", &[]).await.expect("the table is there").get(0)
--- a/crates/gcl-standin/tests/standin/main.rs
+++ b/crates/gcl-standin/tests/standin/main.rs
@@ -1,4 +1,6 @@
 //! Tests of the stand-ins.
 
 mod database;
+mod driver;
+mod fixture;
 mod history;
