--- a/crates/gcl-core/src/settings/mod.rs
+++ b/crates/gcl-core/src/settings/mod.rs
@@ -160,12 +160,3 @@
         Duration::from_millis(self.bounds.request_ms)
     }
 }
-
-/// Reads settings from JSON with comments.
-///
-/// # Errors
-/// The faults found.
-pub fn parse(text: &str) -> Result<Settings, Vec<String>> {
-    jsonc_parser::parse_to_serde_value(text, &jsonc_parser::ParseOptions::default())
-        .map_err(|error| vec![error.to_string()])
-}
--- a/crates/gcl-core/tests/core/group/world.rs
+++ b/crates/gcl-core/tests/core/group/world.rs
@@ -392,8 +392,9 @@
     fn frozen_until(&self, happening: &Happening) -> Option<u64> {
         let node = match happening {
             Happening::Reduce(index, ..) | Happening::Timer(index, ..) => *index,
-            Happening::Ask { server, .. } | Happening::Run { server, .. } => GROUP + server,
-            Happening::Pull(server) => GROUP + server,
+            Happening::Ask { server, .. }
+            | Happening::Run { server, .. }
+            | Happening::Pull(server) => GROUP + server,
             _ => return None,
         };
         Some(self.frozen[node]).filter(|until| *until > self.clock)
@@ -418,10 +419,10 @@
             return;
         }
         let result = self.servers[server].answer(ask);
-        self.reply(server, from, ServerEvent::Answered { question, result });
+        self.reply(server, from, &ServerEvent::Answered { question, result });
     }
 
-    fn reply(&mut self, server: usize, to: usize, event: ServerEvent) {
+    fn reply(&mut self, server: usize, to: usize, event: &ServerEvent) {
         if self.cuts.contains(&(GROUP + server, to)) {
             return;
         }
@@ -451,7 +452,7 @@
         let report = server.report();
         for Waiting { from, question, .. } in due {
             let result = Ok(report.clone());
-            self.reply(index, from, ServerEvent::Answered { question, result });
+            self.reply(index, from, &ServerEvent::Answered { question, result });
         }
     }
 
@@ -569,7 +570,7 @@
         let ttl = Duration::from_secs(5);
         for index in 0..GROUP {
             let message = Message::Ask { database: DATABASE.into(), ttl };
-            self.from_entry(index, peer::Message::Group(message));
+            self.entry_sends(index, peer::Message::Group(message));
         }
     }
 
@@ -596,10 +597,10 @@
             repeatable: false,
             budget: Duration::from_secs(10),
         };
-        self.from_entry(home, peer::Message::Run(Box::new(run)));
+        self.entry_sends(home, peer::Message::Run(Box::new(run)));
     }
 
-    fn from_entry(&mut self, to: usize, message: peer::Message) {
+    fn entry_sends(&mut self, to: usize, message: peer::Message) {
         if self.cuts.contains(&(ENTRY, to)) {
             return;
         }
@@ -682,7 +683,7 @@
                 let to = format!("s{}", to + 1).into();
                 let message = Message::Switch { database: DATABASE.into(), to };
                 if let Some(home) = self.primary() {
-                    self.from_entry(home, peer::Message::Group(message));
+                    self.entry_sends(home, peer::Message::Group(message));
                 }
             }
             Fault::Noise(percent) => self.noise = percent,
@@ -723,6 +724,8 @@
         caller_tls: None,
         peer_tls: None,
         operator_tls: None,
+        plain_caller: false,
+        plain_operator: false,
     };
     let mut state = State::new(settings, random.next());
     configure(&mut state);
