--- a/crates/gcl-core/src/group/report.rs
+++ b/crates/gcl-core/src/group/report.rs
@@ -295,10 +295,15 @@
     fresh_status(daemon, now, fx, server);
 }
 
-/// Makes all own servers follow the leader.
-pub(super) fn follow_all(daemon: &mut Daemon, now: Now, fx: &mut Effects, database: &id::Database) {
+/// Makes all own servers follow a new leader; its home asks all servers at once, so that writes can
+/// start.
+pub(super) fn on_leader(daemon: &mut Daemon, now: Now, fx: &mut Effects, database: &id::Database) {
+    let leads = super::leader(daemon, database).is_some_and(|it| is_home(daemon, &it.server));
     for server in servers(daemon, database) {
         follow(daemon, now, fx, database, &server);
+        if leads {
+            fresh_status(daemon, now, fx, &server);
+        }
     }
 }
 
--- a/crates/gcl-core/tests/core/group/world.rs
+++ b/crates/gcl-core/tests/core/group/world.rs
@@ -36,6 +36,8 @@
 const SETTLE_MS: u64 = 4_000;
 /// Most events at one moment.
 const BUSY_MOST: u32 = 20_000;
+/// Time after which a data connection without any answer is given up.
+const CONNECTION_TIMEOUT: u64 = 1_000_000;
 /// Time between two pulls of a replica.
 const PULL: u64 = 4_000;
 /// Time between two requests of the entry.
@@ -347,14 +349,28 @@
                     self.at(delay + extra, Happening::Ask { server, from, question, ask });
                 }
             }
-            call if !cut => {
+            call if cut => self.lose(server, from, &call),
+            call => {
                 let sent = self.clock;
                 self.at(delay, Happening::Run { server, from, sent, call });
             }
-            _ => {}
         }
     }
 
+    /// Ends a call on a data connection whose bytes do not arrive.
+    fn lose(&mut self, server: usize, from: usize, call: &Call) {
+        let event = match *call {
+            Call::Open { connection, .. } => ServerEvent::Failed { connection, full: false },
+            Call::Run { connection, request, .. } => {
+                let ended = Ended::Lost { sent: true };
+                ServerEvent::Ended { connection, request, ended }
+            }
+            Call::Reset(connection) => ServerEvent::Reset { connection, clean: false },
+            _ => return,
+        };
+        self.tell(server, from, CONNECTION_TIMEOUT, event);
+    }
+
     fn happen(&mut self, happening: Happening) {
         if let Some(until) = self.frozen_until(&happening) {
             self.at(until - self.clock, happening);
@@ -392,8 +408,9 @@
     fn frozen_until(&self, happening: &Happening) -> Option<u64> {
         let node = match happening {
             Happening::Reduce(index, ..) | Happening::Timer(index, ..) => *index,
-            Happening::Ask { server, .. } | Happening::Run { server, .. } => GROUP + server,
-            Happening::Pull(server) => GROUP + server,
+            Happening::Ask { server, .. }
+            | Happening::Run { server, .. }
+            | Happening::Pull(server) => GROUP + server,
             _ => return None,
         };
         Some(self.frozen[node]).filter(|until| *until > self.clock)
@@ -418,10 +435,10 @@
             return;
         }
         let result = self.servers[server].answer(ask);
-        self.reply(server, from, ServerEvent::Answered { question, result });
+        self.reply(server, from, &ServerEvent::Answered { question, result });
     }
 
-    fn reply(&mut self, server: usize, to: usize, event: ServerEvent) {
+    fn reply(&mut self, server: usize, to: usize, event: &ServerEvent) {
         if self.cuts.contains(&(GROUP + server, to)) {
             return;
         }
@@ -451,20 +468,16 @@
         let report = server.report();
         for Waiting { from, question, .. } in due {
             let result = Ok(report.clone());
-            self.reply(index, from, ServerEvent::Answered { question, result });
+            self.reply(index, from, &ServerEvent::Answered { question, result });
         }
     }
 
     fn on_call(&mut self, server: usize, from: usize, sent: u64, call: Call) {
+        let cut = self.cuts.contains(&(GROUP + server, from));
+        if cut {
+            self.lose(server, from, &call);
+        }
         match call {
-            Call::Open { connection, .. } if self.up[server] => {
-                self.started[server].insert((from, connection));
-                self.tell(server, from, 100, ServerEvent::Opened(connection));
-            }
-            Call::Open { connection, .. } => {
-                let event = ServerEvent::Failed { connection, full: false };
-                self.tell(server, from, 500, event);
-            }
             Call::Run { connection, request, term, batch, .. } => {
                 if !self.started[server].contains(&(from, connection)) || !self.up[server] {
                     let ended = Ended::Lost { sent: true };
@@ -472,8 +485,20 @@
                     return self.tell(server, from, 200, event);
                 }
                 let ended = self.execute(server, request, term, &batch, sent);
+                if cut {
+                    return;
+                }
                 self.tell(server, from, 200, ServerEvent::Ended { connection, request, ended });
             }
+            _ if cut => {}
+            Call::Open { connection, .. } if self.up[server] => {
+                self.started[server].insert((from, connection));
+                self.tell(server, from, 100, ServerEvent::Opened(connection));
+            }
+            Call::Open { connection, .. } => {
+                let event = ServerEvent::Failed { connection, full: false };
+                self.tell(server, from, 500, event);
+            }
             Call::Reset(connection) => {
                 let clean = self.up[server];
                 self.tell(server, from, 100, ServerEvent::Reset { connection, clean });
@@ -569,7 +594,7 @@
         let ttl = Duration::from_secs(5);
         for index in 0..GROUP {
             let message = Message::Ask { database: DATABASE.into(), ttl };
-            self.from_entry(index, peer::Message::Group(message));
+            self.tell_home(index, peer::Message::Group(message));
         }
     }
 
@@ -596,10 +621,10 @@
             repeatable: false,
             budget: Duration::from_secs(10),
         };
-        self.from_entry(home, peer::Message::Run(Box::new(run)));
+        self.tell_home(home, peer::Message::Run(Box::new(run)));
     }
 
-    fn from_entry(&mut self, to: usize, message: peer::Message) {
+    fn tell_home(&mut self, to: usize, message: peer::Message) {
         if self.cuts.contains(&(ENTRY, to)) {
             return;
         }
@@ -682,7 +707,7 @@
                 let to = format!("s{}", to + 1).into();
                 let message = Message::Switch { database: DATABASE.into(), to };
                 if let Some(home) = self.primary() {
-                    self.from_entry(home, peer::Message::Group(message));
+                    self.tell_home(home, peer::Message::Group(message));
                 }
             }
             Fault::Noise(percent) => self.noise = percent,
