feat(core): refuse at the home what other rules placed

Cause: a request placed by a rule revision that the home does not hold could write a route key in a database that it is leaving.

--- a/crates/gcl-core/src/home/task.rs
+++ b/crates/gcl-core/src/home/task.rs
@@ -69,6 +69,7 @@
         Err(fault) => {
             let answer = answer(daemon, &run, Outcome::NotRun(fault));
             send(daemon, now, fx, from, answer);
+            pump(daemon, now, fx, &run.server);
         }
     }
 }
@@ -103,7 +104,7 @@
     run: &mut Run,
 ) -> Result<()> {
     if let Scope::Within(name) = run.scope {
-        return transaction::join(daemon, from, run, name);
+        return transaction::join(daemon, now, fx, from, run, name);
     }
     handover::admits(daemon, now, fx, run)?;
     match run.access {
@@ -228,16 +229,27 @@
 /// Starts what the server's slots and connections allow.
 pub fn pump(daemon: &mut Daemon, now: Now, fx: &mut Effects, server: &id::Server) {
     let limits = super::limits(daemon, server);
-    if let Some(pool) = daemon.home.pools.get_mut(server) {
-        pool::reset_abandoned(pool, now, fx, server, limits.0);
-    }
+    reset_abandoned(daemon, now, fx, server, limits.0);
     while let Some((request, charged, connection)) = next(daemon, server, limits) {
         start(daemon, now, fx, request, connection, charged);
     }
+    reset_abandoned(daemon, now, fx, server, limits.0);
     pool::open_for_queue(daemon, now, fx, server, limits);
     handover::progress(daemon, now, fx, server);
 }
 
+fn reset_abandoned(
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    server: &id::Server,
+    slots: usize,
+) {
+    if let Some(pool) = daemon.home.pools.get_mut(server) {
+        pool::reset_abandoned(pool, now, fx, server, slots);
+    }
+}
+
 fn next(
     daemon: &mut Daemon,
     server: &id::Server,
--- a/crates/gcl-core/src/home/transaction.rs
+++ b/crates/gcl-core/src/home/transaction.rs
@@ -8,7 +8,7 @@
 use crate::{
     code::{Code, Fault, Result},
     effect::Effects,
-    id,
+    id, route,
     run::{Access, Outcome, Run},
     server::Call,
     state::State as Daemon,
@@ -45,19 +45,22 @@
     request >> COUNTER_BITS
 }
 
-/// Takes a statement into its transaction.
+/// Takes a statement into its transaction. A transaction that writes ends when the rules that
+/// placed it have changed, since its route key may write elsewhere by now.
 ///
 /// # Errors
 /// [`Code::TransactionLost`] when it is gone or not the sender's, [`Code::Protocol`] while another
 /// statement of it is under way.
 pub fn join(
     daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
     from: &id::Daemon,
     run: &mut Run,
     name: id::Transaction,
 ) -> Result<()> {
     let lost = || Fault::new(Code::TransactionLost, "the transaction is gone");
-    let transaction = daemon.home.transactions.get_mut(&name).ok_or_else(lost)?;
+    let transaction = daemon.home.transactions.get(&name).ok_or_else(lost)?;
     let owned = transaction.owner == *from
         && transaction.workspace == run.workspace
         && transaction.server == run.server
@@ -68,6 +71,13 @@
             "the transaction belongs to another session",
         ));
     }
+    let writes = transaction.access == Access::Write;
+    if writes && route::check(&daemon.config.snapshot, run).is_err() {
+        abandon(daemon, now, fx, name);
+        let detail = "the routing rules changed; nothing was committed";
+        return Err(Fault::new(Code::TransactionLost, detail));
+    }
+    let transaction = daemon.home.transactions.get_mut(&name).ok_or_else(lost)?;
     if transaction.busy.is_some() {
         return Err(Fault::new(Code::Protocol, "a statement of the transaction is under way"));
     }
--- a/crates/gcl-core/tests/core/home/answer.rs
+++ b/crates/gcl-core/tests/core/home/answer.rs
@@ -235,6 +235,30 @@
     assert!(host.take_answers().is_empty(), "one with time left waits");
 }
 
+/// Changes the rule that places the requests.
+fn change_rule(host: &mut Host) {
+    let snapshot = &mut host.state.config.snapshot;
+    let mut rule = snapshot.rules["orders"].value.clone();
+    rule.priority = 1;
+    snapshot.put(2, gcl_core::config::object::Object::Rule(rule));
+    snapshot.index();
+}
+
+#[test]
+fn rules_that_the_home_does_not_hold_place_nothing() {
+    let mut host = Host::new(2, 20);
+    let connection = started(&mut host, 1, Scope::Begin, Access::Write);
+    host.end(connection, request_id(1), answered(Status::Open, None));
+    host.advance(100);
+    host.take_answers();
+    change_rule(&mut host);
+    host.run(run(2, Scope::Single, Access::Write));
+    host.run(run(3, Scope::Within(request_id(1)), Access::Write));
+    let codes: Vec<_> = host.take_answers().iter().map(|answer| code(&answer.outcome)).collect();
+    assert_eq!(codes, [Some(Code::RevisionMismatch), Some(Code::TransactionLost)]);
+    assert!(host.take_calls().contains(&Call::Reset(connection)), "an open write ends as well");
+}
+
 #[test]
 fn a_leaving_server_gets_no_new_work_and_finishes_what_runs() {
     let mut host = Host::new(1, 20);
--- a/crates/gcl-core/tests/core/home/host.rs
+++ b/crates/gcl-core/tests/core/home/host.rs
@@ -3,7 +3,7 @@
 use crate::fixture::settings;
 use gcl_core::{
     batch::{Batch, Status},
-    config::object::{Database, Domain, Object, Server, Service, Workspace},
+    config::object::{Database, Domain, Object, Phase, Rule, Server, Service, Workspace},
     effect::Effect,
     event::Event,
     id,
@@ -46,6 +46,7 @@
     snapshot.put(1, Object::Service(Service { name: "orders".into(), labels: labels() }));
     let database = Database { name: "db".into(), service: "orders".into(), labels: labels() };
     snapshot.put(1, Object::Database(database));
+    snapshot.put(1, Object::Rule(rule()));
     for name in ["s1", "s2", "s3"] {
         snapshot.put(1, Object::Server(server(name, slots, connections)));
     }
@@ -59,6 +60,21 @@
     snapshot.index();
 }
 
+fn rule() -> Rule {
+    Rule {
+        name: "orders".into(),
+        service: "orders".into(),
+        workspaces: "".into(),
+        databases: "".into(),
+        next: None,
+        open: false,
+        max_age_ms: 0,
+        priority: 0,
+        phase: Phase::Open,
+        labels: IndexMap::default(),
+    }
+}
+
 fn server(name: &str, slots: u32, connections: u32) -> Server {
     Server {
         name: name.into(),
