--- /dev/null
+++ b/crates/gcl-cli/src/client.rs
@@ -0,0 +1,93 @@
+//! Calls to a daemon's operator port.
+
+use crate::{
+    arguments::Arguments,
+    exit::{Failure, Result},
+};
+use gcl_core::code::Fault;
+use reqwest::{RequestBuilder, Response, StatusCode};
+use serde::{Serialize, de::DeserializeOwned};
+use std::{fs, time::Duration};
+
+/// Longest wait for a daemon's answer; a change may take half a minute.
+const TIMEOUT: Duration = Duration::from_secs(70);
+/// Longest wait for a connection.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// A daemon's operator port.
+#[derive(Clone, Debug)]
+pub struct Client {
+    base: String,
+    token: Option<String>,
+    http: reqwest::Client,
+}
+
+impl Client {
+    /// A client of the daemon that the command line names.
+    pub fn new(arguments: &Arguments) -> Result<Self> {
+        let read = |file: &String| {
+            let text = fs::read_to_string(file);
+            let text = text.map_err(|error| Failure::Usage(format!("{file}: {error}")))?;
+            Ok(text.trim().to_owned())
+        };
+        let http = reqwest::Client::builder().connect_timeout(CONNECT_TIMEOUT).timeout(TIMEOUT);
+        let http = http.no_proxy().build();
+        Ok(Self {
+            base: arguments.server.trim_end_matches('/').to_owned(),
+            token: arguments.token_file.as_ref().map(read).transpose()?,
+            http: http.map_err(|error| unreachable(&error))?,
+        })
+    }
+
+    /// Reads a document.
+    pub async fn get<T: DeserializeOwned>(&self, path: &str, query: &[(&str, &str)]) -> Result<T> {
+        let url = self.url(path, query)?;
+        self.send(self.http.get(url)).await
+    }
+
+    /// Sends a document and reads the answer.
+    pub async fn post<T: DeserializeOwned>(&self, path: &str, body: &impl Serialize) -> Result<T> {
+        let url = self.url(path, &[])?;
+        self.send(self.http.post(url).json(body)).await
+    }
+
+    fn url(&self, path: &str, query: &[(&str, &str)]) -> Result<reqwest::Url> {
+        let text = format!("{}/v1/{path}", self.base);
+        let mut url: reqwest::Url =
+            text.parse().map_err(|error| Failure::Usage(format!("{text}: {error}")))?;
+        for (name, value) in query.iter().filter(|(_, value)| !value.is_empty()) {
+            url.query_pairs_mut().append_pair(name, value);
+        }
+        Ok(url)
+    }
+
+    async fn send<T: DeserializeOwned>(&self, request: RequestBuilder) -> Result<T> {
+        let request = match &self.token {
+            Some(token) => request.bearer_auth(token),
+            None => request,
+        };
+        let response = request.send().await.map_err(|error| unreachable(&error))?;
+        read(response).await
+    }
+}
+
+async fn read<T: DeserializeOwned>(response: Response) -> Result<T> {
+    let status = response.status();
+    let text = response.text().await.map_err(|error| unreachable(&error))?;
+    if status.is_success() {
+        let body = serde_json::from_str(&text);
+        return body.map_err(|error| Failure::Unreachable(format!("odd answer: {error}")));
+    }
+    match serde_json::from_str::<Fault>(&text) {
+        Ok(fault) => Err(Failure::Refused(fault)),
+        Err(_) => Err(odd(status, &text)),
+    }
+}
+
+fn odd(status: StatusCode, text: &str) -> Failure {
+    Failure::Unreachable(format!("{status}: {}", text.lines().next().unwrap_or_default()))
+}
+
+fn unreachable(error: &reqwest::Error) -> Failure {
+    Failure::Unreachable(error.to_string())
+}
--- /dev/null
+++ b/crates/gcl-core/src/config/file.rs
@@ -0,0 +1,207 @@
+//! Objects written by operators: a list in JSON with comments, each fault with its line and column.
+
+use super::{
+    object::Object,
+    snapshot::{Snapshot, key_of},
+    validate,
+};
+use crate::{id, operation::api::Item};
+use compact_str::{CompactString, format_compact};
+use indexmap::IndexMap;
+use jsonc_parser::{
+    CollectOptions, ParseOptions,
+    ast::{self, ObjectProp, Value},
+    common::Ranged,
+    parse_to_ast, parse_to_serde_value,
+};
+use std::fmt;
+
+/// A fault in a file.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Fault {
+    /// The line, counted from one.
+    pub line: usize,
+    /// The column, counted in characters from one.
+    pub column: usize,
+    /// What is wrong.
+    pub detail: CompactString,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}:{}: {}", self.line, self.column, self.detail)
+    }
+}
+
+impl std::error::Error for Fault {}
+
+/// The outcome of reading a file: what it holds, or every fault found.
+pub type Result<T> = std::result::Result<T, Vec<Fault>>;
+
+/// JSON with comments and trailing commas, and no other leniency.
+const fn options() -> ParseOptions {
+    ParseOptions {
+        allow_comments: true,
+        allow_trailing_commas: true,
+        allow_loose_object_property_names: false,
+        allow_missing_commas: false,
+        allow_single_quoted_strings: false,
+        allow_hexadecimal_numbers: false,
+        allow_unary_plus_numbers: false,
+        allow_bare_decimal_point_numbers: false,
+        allow_non_finite_numbers: false,
+        allow_extended_string_escapes: false,
+    }
+}
+
+/// Reads a list of objects; each stands bare, or as `{"revision": N, "object": {..}}` as listed.
+///
+/// # Errors
+/// Every fault of form, value or repetition, in the order of the file.
+pub fn read(text: &str) -> Result<Vec<Item>> {
+    let parsed = parse_to_ast(text, &CollectOptions::default(), &options()).map_err(|error| {
+        vec![at(text, error.range().start, format_compact!("{}", error.kind()))]
+    })?;
+    let Some(Value::Array(list)) = parsed.value else {
+        return Err(vec![at(text, 0, "expected a list of objects".into())]);
+    };
+    let mut reader = Reader { text, seen: IndexMap::new(), faults: Vec::new() };
+    let items: Vec<Item> =
+        list.elements.iter().filter_map(|element| reader.element(element)).collect();
+    if reader.faults.is_empty() { Ok(items) } else { Err(reader.faults) }
+}
+
+/// Reads a file that holds a whole configuration, and checks the references in it.
+///
+/// # Errors
+/// Every fault, as [`read`] does; faults of references stand at the object that refers.
+pub fn read_whole(text: &str) -> Result<Snapshot> {
+    let items = read(text)?;
+    let mut snapshot = Snapshot::default();
+    for (revision, item) in (1..).zip(items) {
+        snapshot.put(revision, item.object);
+        snapshot.revision = revision;
+    }
+    snapshot.index();
+    let problems = validate::snapshot(&snapshot);
+    if problems.is_empty() {
+        return Ok(snapshot);
+    }
+    let mut starts = positions(text);
+    let faults = problems.into_iter().map(|problem| {
+        let start = starts.get_mut(&problem.key).map_or(0, |start| *start);
+        at(text, start, format_compact!("{}: {}", problem.key, problem.fault.detail))
+    });
+    Err(faults.collect())
+}
+
+/// Where each object of a well-formed file starts, by store key.
+fn positions(text: &str) -> IndexMap<CompactString, usize> {
+    let parsed = parse_to_ast(text, &CollectOptions::default(), &options()).ok();
+    let list = parsed.and_then(|parsed| parsed.value);
+    let mut reader = Reader { text, seen: IndexMap::new(), faults: Vec::new() };
+    if let Some(Value::Array(list)) = &list {
+        list.elements.iter().for_each(|element| drop(reader.element(element)));
+    }
+    reader.seen
+}
+
+struct Reader<'a> {
+    text: &'a str,
+    seen: IndexMap<CompactString, usize>,
+    faults: Vec<Fault>,
+}
+
+impl Reader<'_> {
+    fn element(&mut self, element: &Value<'_>) -> Option<Item> {
+        let Value::Object(fields) = element else {
+            self.fault(element.start(), "expected an object".into());
+            return None;
+        };
+        let item = match fields.get("object") {
+            Some(ObjectProp { value: Value::Object(inner), .. }) => {
+                let revision = self.revision(fields)?;
+                Item { object: self.object(inner)?, revision: Some(revision) }
+            }
+            _ => Item { object: self.object(fields)?, revision: None },
+        };
+        let key = key_of(&item.object);
+        for problem in validate::object(&item.object) {
+            self.fault(element.start(), format_compact!("{key}: {}", problem.fault.detail));
+        }
+        if self.seen.insert(key.clone(), element.start()).is_some() {
+            self.fault(element.start(), format_compact!("{key} occurs twice"));
+        }
+        Some(item)
+    }
+
+    fn revision(&mut self, fields: &ast::Object<'_>) -> Option<id::Revision> {
+        for field in &fields.properties {
+            if !matches!(field.name.as_str(), "object" | "revision") {
+                let detail = format_compact!("unknown field `{}`", field.name.as_str());
+                self.fault(field.range.start, detail);
+                return None;
+            }
+        }
+        let field = fields.get("revision").map(|field| field.value.range());
+        let text = field.map_or("", |range| &self.text[range.start..range.end]);
+        let revision = text.parse().ok();
+        if revision.is_none() {
+            self.fault(fields.range.start, "expected a revision beside the object".into());
+        }
+        revision
+    }
+
+    fn object(&mut self, fields: &ast::Object<'_>) -> Option<Object> {
+        match parse(self.text, fields, None) {
+            Ok(object) => Some(object),
+            Err(detail) => {
+                let culprit = culprit(self.text, fields, &detail);
+                self.fault(culprit.unwrap_or(fields.range.start), detail);
+                None
+            }
+        }
+    }
+
+    fn fault(&mut self, start: usize, detail: CompactString) {
+        self.faults.push(at(self.text, start, detail));
+    }
+}
+
+/// Reads an object, without one of its fields where one is named.
+fn parse(
+    text: &str,
+    fields: &ast::Object<'_>,
+    without: Option<&str>,
+) -> std::result::Result<Object, CompactString> {
+    let source = &text[fields.range.start..fields.range.end];
+    let mut value: serde_json::Value = parse_to_serde_value(source, &options())
+        .map_err(|error| format_compact!("{}", error.kind()))?;
+    if let (Some(name), Some(map)) = (without, value.as_object_mut()) {
+        map.remove(name);
+    }
+    serde_json::from_value(value).map_err(|error| format_compact!("{error}"))
+}
+
+/// The position of the field without which the object has another fault, or none. Without its kind
+/// an object always has another fault, so the kind counts only when nobody knows it.
+fn culprit(text: &str, fields: &ast::Object<'_>, detail: &str) -> Option<usize> {
+    if detail.starts_with("missing field") {
+        return None;
+    }
+    let unknown_kind = detail.starts_with("unknown variant");
+    let mut suspects =
+        fields.properties.iter().filter(|field| (field.name.as_str() == "kind") == unknown_kind);
+    let found = suspects.find(|field| {
+        let rest = parse(text, fields, Some(field.name.as_str()));
+        rest.err().is_none_or(|other| other != detail)
+    });
+    found.map(|field| field.range.start)
+}
+
+fn at(text: &str, position: usize, detail: CompactString) -> Fault {
+    let before = text.get(..position).unwrap_or(text);
+    let line = before.matches('\n').count() + 1;
+    let start = before.rfind('\n').map_or(0, |end| end + 1);
+    Fault { line, column: before[start..].chars().count() + 1, detail }
+}
--- a/crates/gcl-core/src/config/mod.rs
+++ b/crates/gcl-core/src/config/mod.rs
@@ -5,6 +5,7 @@
 //! [`tree`]). Each daemon knows since when nothing can have escaped it ([`proof`]).
 
 pub mod document;
+pub mod file;
 pub mod follow;
 pub mod object;
 pub mod placement;
--- a/crates/gcl-core/src/operation/plan.rs
+++ b/crates/gcl-core/src/operation/plan.rs
@@ -209,11 +209,17 @@
     Ok(plan)
 }
 
+/// The place of an object's kind in the order in which objects are put in force.
+#[must_use]
+pub fn order(object: &Object) -> usize {
+    let (kind, _) = identity(object);
+    ORDER.iter().position(|known| *known == kind).unwrap_or_default()
+}
+
 /// Removals come first, from what refers to what is referred to; then the others the other way.
 /// Rules come by falling priority, so that none takes over what another one of the request placed.
 fn rank(step: &Step) -> (bool, usize, Reverse<i32>) {
-    let (kind, _) = identity(&step.object);
-    let place = ORDER.iter().position(|known| *known == kind).unwrap_or_default();
+    let place = order(&step.object);
     let priority = match &step.object {
         Object::Rule(rule) => rule.priority,
         _ => 0,
--- a/crates/gcl-core/src/operation/work.rs
+++ b/crates/gcl-core/src/operation/work.rs
@@ -34,6 +34,8 @@
 const DEADLINE: Duration = Duration::from_secs(30);
 /// Tries of one object.
 const TRIES: u32 = 4;
+/// Reads of an object in doubt, after which it stays in doubt.
+const READS: u32 = 8;
 /// Age of an announcement from which it is made again.
 const RECENT: Duration = Duration::from_secs(1);
 /// Wait between two reads of an object in doubt.
@@ -61,6 +63,7 @@
     results: Vec<Done>,
     stage: Stage,
     tries: u32,
+    reads: u32,
     /// Whether a try of the present object may have taken effect.
     doubt: bool,
     announced: Duration,
@@ -87,6 +90,7 @@
         next: 0,
         stage: Stage::Announce,
         tries: 0,
+        reads: 0,
         doubt: false,
         announced: now.mono,
         deadline: now.mono + DEADLINE,
@@ -202,6 +206,7 @@
         return;
     };
     work.stage = Stage::Read(call);
+    work.reads += 1;
     let key = key_of(&work.plan.steps[work.next].object);
     fx.store(store::Call { call, op: Op::Get(key), timeout: TIMEOUT });
 }
@@ -294,6 +299,7 @@
     work.results.push(done(key_of(&step.object), Status::Changed, revision));
     work.next += 1;
     work.tries = 0;
+    work.reads = 0;
     work.doubt = false;
     if work.next == work.plan.steps.len() {
         finish(daemon, fx, operation);
@@ -333,7 +339,7 @@
     let over = now.mono >= work.deadline;
     work.doubt |= matches!(work.stage, Stage::Swap(_));
     match work.stage {
-        Stage::Pause if !over => {
+        Stage::Pause if !over && work.reads < READS => {
             fx.arm(timer::Key::Operation(operation), work.deadline);
             read(daemon, fx, operation);
         }
--- a/crates/gcl-core/tests/core/config/mod.rs
+++ b/crates/gcl-core/tests/core/config/mod.rs
@@ -1,5 +1,6 @@
 //! Tests of `gcl_core::config`.
 
+mod file;
 mod fleet;
 mod follow;
 mod selector;
--- a/crates/gcl-standin/src/platform/mod.rs
+++ b/crates/gcl-standin/src/platform/mod.rs
@@ -10,4 +10,4 @@
 pub mod store;
 mod watch;
 
-pub use server::{Options, Outcome, Server};
+pub use server::{Options, Outcome, Platform, Server};
--- a/crates/gcl-standin/src/platform/store.rs
+++ b/crates/gcl-standin/src/platform/store.rs
@@ -36,7 +36,7 @@
 }
 
 /// The keys, their history and the leases.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub struct Store {
     revision: u64,
     compacted: u64,
@@ -46,6 +46,20 @@
     last_lease: u64,
 }
 
+impl Default for Store {
+    /// An empty store; its first revision is one, as the real service's.
+    fn default() -> Self {
+        Self {
+            revision: 1,
+            compacted: 0,
+            keys: BTreeMap::new(),
+            history: Vec::new(),
+            leases: BTreeMap::new(),
+            last_lease: 0,
+        }
+    }
+}
+
 /// Whether a range holds a key.
 #[must_use]
 pub fn holds(start: &Blob, end: &Blob, key: &Blob) -> bool {
