--- a/crates/gcl-standin/src/platform/load.rs
+++ b/crates/gcl-standin/src/platform/load.rs
@@ -2,9 +2,8 @@
 
 use super::server::Platform;
 use eyre::{Result, WrapErr, eyre};
-use gcl_core::config::{object::Object, snapshot};
+use gcl_core::config::{file, object::Object, snapshot};
 use gcl_store::gateway::{Blob, Int, PutRequest};
-use jsonc_parser::ParseOptions;
 use std::{fs, path::Path};
 
 /// Loads a list of objects, JSON with comments; gives how many.
@@ -13,12 +12,14 @@
 /// When the file cannot be read or holds anything but a list of objects.
 pub fn load(platform: &Platform, path: &Path) -> Result<usize> {
     let text = fs::read_to_string(path).wrap_err_with(|| format!("reading {}", path.display()))?;
-    let objects: Vec<Object> = jsonc_parser::parse_to_serde_value(&text, &ParseOptions::default())
-        .map_err(|error| eyre!("{}: {error}", path.display()))?;
-    for object in &objects {
-        put(platform, object)?;
+    let items = file::read(&text).map_err(|faults| {
+        let faults = faults.iter().map(|fault| format!("{}:{fault}", path.display()));
+        eyre!("{}", faults.collect::<Vec<_>>().join("\n"))
+    })?;
+    for item in &items {
+        put(platform, &item.object)?;
     }
-    Ok(objects.len())
+    Ok(items.len())
 }
 
 /// Puts one object into the store, as an operator's change would.
