feat(standin): deployments in one process, the demo and the path benchmark

Cause: the promises have to be shown and measured on the whole path. Not run to the end yet: the second entry is refused for want of membership.

--- /dev/null
+++ b/crates/gcl-standin/src/bench.rs
@@ -0,0 +1,177 @@
+//! The `bench` command: the cost of the path, as ratios within one run.
+//!
+//! The same reads and writes go to a stand-in server directly, through one daemon that is entry
+//! and home, and through two daemons, entry and home. Daemons and stand-ins share this process.
+
+use crate::{
+    database::Server,
+    deployment::{self, Caller, Deployment, Options},
+};
+use eyre::{Result, WrapErr, eyre};
+use futures::future::try_join_all;
+use gcl_core::config::object::Object;
+use getopts::Options as Flags;
+use hdrhistogram::Histogram;
+use std::{
+    net::SocketAddr,
+    time::{Duration, Instant},
+};
+use tokio_postgres::{Client, SimpleQueryMessage};
+
+/// Callers at once in the rows of the table.
+const CALLERS: [usize; 3] = [1, 32, 256];
+/// Requests of each row that are not counted.
+const WARM_UP: usize = 50;
+/// Connections that each server takes, so that direct callers find room.
+const CONNECTIONS: u32 = 300;
+/// Statements that each server runs at once.
+const SLOTS: u32 = 16;
+/// Rate and burst of the workspace, in requests, so that no request is refused for it.
+const RATE: u32 = 4_000_000;
+
+/// The way that requests take.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Way {
+    Direct,
+    OneDaemon,
+    TwoDaemons,
+}
+
+/// What one row measured.
+#[derive(Debug)]
+struct Row {
+    way: Way,
+    p50: Duration,
+    p99: Duration,
+    per_second: f64,
+}
+
+/// Runs the command with the arguments after its name.
+///
+/// # Errors
+/// Bad arguments, or a request that fails.
+pub fn run(arguments: &[String]) -> Result<()> {
+    let mut flags = Flags::new();
+    flags.optopt("", "requests", "requests of each row, 4000 by default", "N");
+    flags.optflag("h", "help", "print this help");
+    let matches = flags.parse(arguments)?;
+    if matches.opt_present("help") {
+        print!("{}", flags.usage("Usage: goldcrest-standin bench [options]"));
+        return Ok(());
+    }
+    let requests = matches.opt_get_default("requests", 4_000)?;
+    let system = actix_rt::System::with_tokio_rt(gcl_daemon::log::runtime);
+    system.block_on(measure(requests))
+}
+
+async fn measure(requests: usize) -> Result<()> {
+    let caller = Caller::example("bench", "bench-db");
+    let options = Options { objects: objects(), daemons_per_domain: 1, delays: false };
+    let deployment = deployment::start(options).await?;
+    let create = "create table item (id int primary key, what text)";
+    let client = deployment.ready(0, &caller, create).await?;
+    client.batch_execute("insert into item values (1, 'rack')").await?;
+    let primary = deployment.primary("bench-1").ok_or_else(|| eyre!("no primary"))?;
+    let (near, far) = ends(&deployment, primary);
+    let reads = "select what from item where id = 1";
+    println!("reads of one row, {requests} requests a row");
+    for callers in CALLERS {
+        let mut rows = Vec::new();
+        for way in [Way::Direct, Way::OneDaemon, Way::TwoDaemons] {
+            let address = match way {
+                Way::Direct => primary.address(),
+                Way::OneDaemon => near,
+                Way::TwoDaemons => far,
+            };
+            rows.push(row(way, address, &caller, callers, requests, reads).await?);
+        }
+        print(callers, &rows);
+    }
+    Ok(())
+}
+
+/// The caller ports of the primary's home and of another daemon.
+fn ends(deployment: &Deployment, primary: &Server) -> (SocketAddr, SocketAddr) {
+    let home = usize::from(!primary.name().ends_with("-a"));
+    let caller = |member: usize| deployment.members[member].daemon.caller;
+    (caller(home), caller(1 - home))
+}
+
+async fn row(
+    way: Way,
+    address: SocketAddr,
+    caller: &Caller,
+    callers: usize,
+    requests: usize,
+    sql: &'static str,
+) -> Result<Row> {
+    let connects = (0..callers).map(|_| deployment::connect(address, caller));
+    let clients = try_join_all(connects).await.wrap_err_with(|| format!("{way:?}"))?;
+    let share = requests.div_ceil(callers).max(4);
+    try_join_all(clients.iter().map(|client| repeat(client, WARM_UP.div_ceil(callers), sql)))
+        .await?;
+    let since = Instant::now();
+    let tasks = clients
+        .into_iter()
+        .map(|client| tokio::spawn(async move { repeat(&client, share, sql).await }));
+    let mut times = Histogram::<u64>::new(3)?;
+    for part in try_join_all(tasks).await? {
+        times.add(part?)?;
+    }
+    let elapsed = since.elapsed().as_secs_f64();
+    let count = f64::from(u32::try_from(times.len())?);
+    Ok(Row {
+        way,
+        p50: Duration::from_nanos(times.value_at_quantile(0.5)),
+        p99: Duration::from_nanos(times.value_at_quantile(0.99)),
+        per_second: count / elapsed,
+    })
+}
+
+async fn repeat(client: &Client, count: usize, sql: &str) -> Result<Histogram<u64>> {
+    let mut times = Histogram::new(3)?;
+    for _ in 0..count {
+        let since = Instant::now();
+        let messages = client.simple_query(sql).await?;
+        times.record(u64::try_from(since.elapsed().as_nanos())?)?;
+        let rows = messages.iter().filter(|m| matches!(m, SimpleQueryMessage::Row(_)));
+        eyre::ensure!(rows.count() == 1, "the row is missing");
+    }
+    Ok(times)
+}
+
+fn print(callers: usize, rows: &[Row]) {
+    let base = &rows[0];
+    for row in rows {
+        println!(
+            "{callers:>4} callers {:<12} p50 {:>8.1?} ({:.2}x) p99 {:>8.1?} ({:.2}x) {:>8.0}/s ({:.2}x)",
+            format!("{:?}", row.way),
+            row.p50,
+            row.p50.as_secs_f64() / base.p50.as_secs_f64(),
+            row.p99,
+            row.p99.as_secs_f64() / base.p99.as_secs_f64(),
+            row.per_second,
+            row.per_second / base.per_second,
+        );
+    }
+}
+
+fn objects() -> Vec<Object> {
+    let mut objects = vec![
+        serde_json::json!({"kind": "domain", "name": "a", "region": "here"}),
+        serde_json::json!({"kind": "domain", "name": "b", "region": "here"}),
+        serde_json::json!({"kind": "service", "name": "bench-db"}),
+        serde_json::json!({"kind": "database", "name": "bench-1", "service": "bench-db"}),
+        serde_json::json!({"kind": "workspace", "name": "bench", "rate": RATE, "burst": RATE}),
+        serde_json::json!({"kind": "key", "name": "bench-1", "workspace": "bench",
+            "hash": gcl_core::key::hash("demo-bench")}),
+        serde_json::json!({"kind": "rule", "name": "all", "service": "bench-db"}),
+    ];
+    for domain in ["a", "b", "b"] {
+        let name = format!("bench-1-{}-{domain}", objects.len());
+        objects.push(serde_json::json!({"kind": "server", "name": name, "database": "bench-1",
+            "domain": domain, "address": "127.0.0.1:1", "slots": SLOTS,
+            "connections": CONNECTIONS}));
+    }
+    objects.into_iter().filter_map(|object| serde_json::from_value(object).ok()).collect()
+}
--- a/crates/gcl-standin/src/database/control.rs
+++ b/crates/gcl-standin/src/database/control.rs
@@ -55,6 +55,7 @@
             shared.order(fault::parse(&call.argument::<String>(0)?)?);
             Ok(text_rows("standin_fault", ["ok".to_owned()]))
         }
+        "standin_name" => Ok(text_rows("standin_name", [shared.options.name.clone()])),
         _ if !control => Err(Error::new("42501", "only on a control connection")),
         "goldcrest_status" => Ok(status(shared, true)),
         "goldcrest_await" => wait(shared, call).await,
--- a/crates/gcl-standin/src/lib.rs
+++ b/crates/gcl-standin/src/lib.rs
@@ -1,4 +1,7 @@
 //! Stand-ins for the platform and the databases, the demo and the benchmarks; ships nowhere.
 
+pub mod bench;
 pub mod database;
+pub mod demo;
+pub mod deployment;
 pub mod platform;
