--- a/crates/gcl-core/tests/core/group/world.rs
+++ b/crates/gcl-core/tests/core/group/world.rs
@@ -599,9 +599,12 @@
     }
 
     fn submit(&mut self, request: u128, server: gcl_core::id::Server, access: Access, sql: String) {
-        let alive =
-            (0..GROUP).find(|index| self.nodes[*index].alive && self.frozen[*index] <= self.clock);
-        let home = alive.and_then(|index| member::home(&self.nodes[index].state, &server));
+        let term = |index: &usize| {
+            group::leader(&self.nodes[*index].state, &DATABASE.into()).map(|leader| leader.term)
+        };
+        let able = |index: &usize| self.nodes[*index].alive && self.frozen[*index] <= self.clock;
+        let view = (0..GROUP).filter(able).max_by_key(term);
+        let home = view.and_then(|index| member::home(&self.nodes[index].state, &server));
         let Some(home) = home.as_deref().and_then(number) else {
             return;
         };
--- a/crates/gcl-core/tests/core/member.rs
+++ /dev/null
@@ -1,1 +0,0 @@
-//! Tests of `gcl_core::member`.
