--- a/crates/gcl-core/tests/core/config/mod.rs
+++ b/crates/gcl-core/tests/core/config/mod.rs
@@ -1,9 +1,10 @@
 //! Tests of `gcl_core::config`.
 
+mod file;
 mod fleet;
 mod follow;
 mod selector;
 mod snapshot;
 mod spread;
 mod validate;
-mod world;
+pub mod world;
--- a/crates/gcl-core/tests/core/group/world.rs
+++ b/crates/gcl-core/tests/core/group/world.rs
@@ -751,6 +751,8 @@
         caller_tls: None,
         peer_tls: None,
         operator_tls: None,
+        plain_caller: false,
+        plain_operator: false,
     };
     let mut state = State::new(settings, random.next());
     configure(&mut state);
@@ -780,6 +782,12 @@
         };
         snapshot.put(1, Object::Server(server));
     }
+    for object in [
+        serde_json::json!({"kind": "rule", "name": "orders", "service": "orders"}),
+        serde_json::json!({"kind": "workspace", "name": "w", "rate": 1000, "burst": 1000}),
+    ] {
+        snapshot.put(1, serde_json::from_value(object).expect("the object is well formed"));
+    }
     snapshot.revision = 1;
     snapshot.index();
 }
