--- a/crates/gcl-core/tests/core/limit/mod.rs
+++ b/crates/gcl-core/tests/core/limit/mod.rs
@@ -3,3 +3,4 @@
 mod bucket;
 mod fleet;
 mod history;
+mod parts;
