--- a/crates/gcl-standin/tests/standin/main.rs
+++ b/crates/gcl-standin/tests/standin/main.rs
@@ -1,3 +1,6 @@
 //! Tests of the stand-ins.
 
 mod database;
+mod driver;
+mod fixture;
+mod history;
