--- a/crates/gcl-core/tests/core/main.rs
+++ b/crates/gcl-core/tests/core/main.rs
@@ -8,6 +8,8 @@
 mod key;
 mod limit;
 mod member;
+mod operation;
+mod platform;
 mod reduce;
 mod request;
 mod route;
