--- a/crates/gcl-core/src/session/queue.rs
+++ b/crates/gcl-core/src/session/queue.rs
@@ -78,13 +78,24 @@
     }
 }
 
+/// What has to be known of a batch to answer it.
+#[derive(Clone, Copy, Debug)]
+struct Running {
+    /// Whether it ends with `ReadyForQuery`.
+    ready: bool,
+    /// Whether it commits or rolls back the transaction.
+    ends: bool,
+    /// Whether it is a `ROLLBACK` by a simple query.
+    rollback: bool,
+}
+
 /// The batches of a session.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Queue {
     jobs: VecDeque<Job>,
     bytes: usize,
-    /// Whether the running batch ends with `ReadyForQuery`; `None` when none runs.
-    running: Option<bool>,
+    /// The batch that runs.
+    running: Option<Running>,
     /// Whether batches are skipped up to the next `ReadyForQuery`, after an error.
     skipping: bool,
     /// Whether the queue is being worked on further up the stack.
@@ -166,7 +177,12 @@
         Work::Refuse(fault) => refuse(session, fx, id, fault, ready),
         Work::Run { batch, class, options } => {
             let options = options.or(&session.options);
-            session.queue.running = Some(ready);
+            let simple = matches!(batch, Batch::Simple(_));
+            session.queue.running = Some(Running {
+                ready,
+                ends: matches!(class, Class::Commit | Class::Rollback),
+                rollback: simple && class == Class::Rollback,
+            });
             run(daemon, now, fx, id, (batch, class, options));
         }
     }
@@ -189,7 +205,7 @@
     let Some(session) = daemon.session.sessions.get(&id) else { return };
     if let Err(fault) = allowed(daemon, now, session) {
         let Some(session) = daemon.session.sessions.get_mut(&id) else { return };
-        let ready = session.queue.running.take().unwrap_or(true);
+        let ready = session.queue.running.take().is_none_or(|running| running.ready);
         return refuse(session, fx, id, fault, ready);
     }
     let variables = session.variables.iter();
@@ -280,7 +296,8 @@
     outcome: Outcome,
 ) {
     let Some(session) = daemon.session.sessions.get_mut(&id) else { return };
-    let Some(ready) = session.queue.running.take() else { return };
+    let Some(running) = session.queue.running.take() else { return };
+    let ready = running.ready;
     session.active = now.mono;
     let mut replies = Vec::with_capacity(3);
     match outcome {
@@ -292,13 +309,24 @@
                 replies.push(reply::token(session));
             }
         }
+        // The transaction was lost before; all that is left is to take note of it.
+        Outcome::NotRun(fault) if running.ends && fault.code == Code::TransactionLost => {
+            session.status = Status::Idle;
+            session.queue.skipping = !ready;
+            replies.push(if running.rollback {
+                Reply::Complete("ROLLBACK".into())
+            } else {
+                Reply::Error { fault, fatal: false }
+            });
+        }
         Outcome::NotRun(fault) => {
             session.status = after_refusal(session.status, fault.code);
             session.queue.skipping = !ready;
             replies.push(Reply::Error { fault, fatal: false });
         }
         Outcome::Unknown(fault) => {
-            session.status = after_unknown(session.status);
+            session.status =
+                if running.ends { Status::Idle } else { after_unknown(session.status) };
             session.queue.skipping = !ready;
             replies.push(Reply::Error { fault, fatal: false });
         }
