--- a/crates/gcl-core/tests/core/group/world.rs
+++ b/crates/gcl-core/tests/core/group/world.rs
@@ -779,6 +779,12 @@
         };
         snapshot.put(1, Object::Server(server));
     }
+    for object in [
+        serde_json::json!({"kind": "rule", "name": "orders", "service": "orders"}),
+        serde_json::json!({"kind": "workspace", "name": "w", "rate": 1000, "burst": 1000}),
+    ] {
+        snapshot.put(1, serde_json::from_value(object).expect("the object is well formed"));
+    }
     snapshot.revision = 1;
     snapshot.index();
 }
