--- a/crates/gcl-cli/src/client.rs
+++ b/crates/gcl-cli/src/client.rs
@@ -4,13 +4,13 @@
     arguments::Arguments,
     exit::{Failure, Result},
 };
-use gcl_core::code::Fault;
+use gcl_core::code::Code;
 use reqwest::{RequestBuilder, Response, StatusCode};
-use serde::{Serialize, de::DeserializeOwned};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
 use std::{fs, time::Duration};
 
-/// Longest wait for a daemon's answer; a change may take half a minute.
-const TIMEOUT: Duration = Duration::from_secs(70);
+/// Longest wait for a daemon's answer; a daemon itself gives up earlier.
+const TIMEOUT: Duration = Duration::from_secs(40);
 /// Longest wait for a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -78,9 +78,25 @@
         let body = serde_json::from_str(&text);
         return body.map_err(|error| Failure::Unreachable(format!("odd answer: {error}")));
     }
-    match serde_json::from_str::<Fault>(&text) {
-        Ok(fault) => Err(Failure::Refused(fault)),
-        Err(_) => Err(odd(status, &text)),
+    let refusal = serde_json::from_str::<Refusal>(&text);
+    Err(refusal.map_or_else(|_odd| odd(status, &text), Refusal::failure))
+}
+
+/// The body of a refusal.
+#[derive(Debug, Deserialize)]
+struct Refusal {
+    code: u16,
+    text: String,
+    detail: String,
+    retry_after_ms: Option<u64>,
+}
+
+impl Refusal {
+    fn failure(self) -> Failure {
+        let Self { code, text, detail, retry_after_ms } = self;
+        let retry = retry_after_ms.map(|ms| format!(" (retry after {ms} ms)"));
+        let text = format!("G{code} {text}: {detail}{}", retry.unwrap_or_default());
+        if code == Code::ChangeUnknown.number() { Failure::Unknown } else { Failure::Refused(text) }
     }
 }
 
--- a/crates/gcl-cli/src/command.rs
+++ b/crates/gcl-cli/src/command.rs
@@ -178,7 +178,7 @@
         return Err(Failure::Incomplete);
     }
     if let Some(refusal) = &report.refusal {
-        return Err(Failure::Refused(refusal.clone()));
+        return Err(Failure::Refused(refusal.to_string()));
     }
     let newest = report.results.iter().map(|done| done.revision).max();
     match newest {
--- a/crates/gcl-core/tests/core/main.rs
+++ b/crates/gcl-core/tests/core/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the reducer and its parts, one module for each module of the crate.
 
+mod code;
 mod config;
 mod fixture;
 mod group;
@@ -8,8 +9,11 @@
 mod limit;
 mod member;
 mod operation;
+mod platform;
 mod reduce;
 mod request;
 mod route;
 mod session;
+mod settings;
 mod statement;
+mod token;
--- a/crates/gcl-standin/src/platform/load.rs
+++ b/crates/gcl-standin/src/platform/load.rs
@@ -2,7 +2,7 @@
 
 use super::server::Platform;
 use eyre::{Result, WrapErr, eyre};
-use gcl_core::config::{file, snapshot};
+use gcl_core::config::{file, object::Object, snapshot};
 use gcl_store::gateway::{Blob, Int, PutRequest};
 use std::{fs, path::Path};
 
@@ -14,13 +14,28 @@
     let text = fs::read_to_string(path).wrap_err_with(|| format!("reading {}", path.display()))?;
     let items = file::read(&text).map_err(|faults| {
         let faults = faults.iter().map(|fault| format!("{}:{fault}", path.display()));
-        eyre!("{}", faults.collect::<Vec<_>>().join("\n"))
+        eyre!(
+            "{}",
+            faults.collect::<Vec<_>>().join(
+                "
+"
+            )
+        )
     })?;
     for item in &items {
-        let value = Blob(serde_json::to_vec(&item.object)?);
-        let key = Blob::text(&snapshot::key_of(&item.object));
-        let put = PutRequest { key, value, lease: Int(0) };
-        platform.store(|store| store.put(&put)).map_err(|error| eyre!("{error:?}"))?;
+        put(platform, &item.object)?;
     }
     Ok(items.len())
 }
+
+/// Puts one object into the store, as an operator's change would.
+///
+/// # Errors
+/// When the store refuses it.
+pub fn put(platform: &Platform, object: &Object) -> Result<()> {
+    let value = Blob(serde_json::to_vec(object)?);
+    let key = Blob::text(&snapshot::key_of(object));
+    let put = PutRequest { key, value, lease: Int(0) };
+    platform.store(|store| store.put(&put)).map_err(|error| eyre!("{error:?}"))?;
+    Ok(())
+}
