--- a/crates/gcl-cli/src/command.rs
+++ b/crates/gcl-cli/src/command.rs
@@ -16,7 +16,8 @@
     key,
     operation::{
         api::{
-            Apply, Delete, History, Issue, Item, Label, Listing, Overview, Report, Status, Wait,
+            Apply, Delete, Done, History, Issue, Item, Label, Listing, Overview, Report, Status,
+            Wait,
         },
         plan::{MAX_OBJECTS, order},
     },
@@ -159,9 +160,12 @@
     };
     let body = Issue { change: change(arguments)?, key };
     let report: Report = client.post("key/issue", &body).await?;
-    finish(arguments, client, &report, false).await?;
-    println!("key {name}.{secret}");
-    Ok(())
+    let changed = |done: &Done| matches!(done.status, Status::Changed | Status::Unknown);
+    if report.results.iter().any(changed) {
+        // The secret is nowhere else, so it is shown before anything else can fail.
+        println!("key {name}.{secret}");
+    }
+    finish(arguments, client, &report, false).await
 }
 
 /// Prints a report, and waits for the change where that is asked for.
--- a/crates/gcl-cli/src/table.rs
+++ b/crates/gcl-cli/src/table.rs
@@ -2,7 +2,7 @@
 
 use gcl_core::{
     config::snapshot::{Versioned, identity, labels},
-    operation::api::{Done, History, Listing, Overview, Report, Wait},
+    operation::api::{Done, History, Listing, Overview, Report, Status, Wait},
 };
 use std::fmt::Write as _;
 
@@ -76,8 +76,8 @@
         table.row(vec![key, status, revision.to_string(), code]);
     }
     let mut text = table.text();
-    for Done { key, ours, theirs, code, .. } in &report.results {
-        if code.is_some() {
+    for Done { key, ours, theirs, status, .. } in &report.results {
+        if *status == Status::Conflict {
             let _ = writeln!(text, "{key}\n  asked for: {}", json(ours.as_ref()));
             let _ = writeln!(text, "  in force:  {}", json(theirs.as_ref()));
         }
