--- a/crates/gcl-core/src/operation/wait.rs
+++ b/crates/gcl-core/src/operation/wait.rs
@@ -19,7 +19,7 @@
 /// Time between two rounds of asking.
 const ROUND: Duration = Duration::from_millis(250);
 /// Longest wait, and the default.
-const MAX_WAIT: Duration = Duration::from_mins(1);
+const MAX_WAIT: Duration = Duration::from_secs(25);
 /// Wait without the parameter.
 const DEFAULT_WAIT: Duration = Duration::from_secs(10);
 
