feat(standin): keep a server's state over a kill of its process

A stand-in that was killed came back empty, with its promises forgotten: a majority of the rest could then elect a primary that lacked an acknowledged write. More control lines per server, so that a fence does not wait behind polls that get no answer.

--- a/crates/gcl-backend/src/control.rs
+++ b/crates/gcl-backend/src/control.rs
@@ -28,7 +28,7 @@
 };
 
 /// Most lines to a server for questions that are answered at once.
-const PROMPT_LINES: usize = 2;
+const PROMPT_LINES: usize = 4;
 /// Most lines to a server for questions that wait.
 const WAITING_LINES: usize = 4;
 
--- a/crates/gcl-standin/src/database/mod.rs
+++ b/crates/gcl-standin/src/database/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! A [`Server`] is one server of a group. It runs in the caller's process; the `database` command
 //! runs one in a process of its own. Its log lives in its process: a crash on demand keeps it, the
-//! end of the process does not.
+//! end of the process only with a journal.
 
 pub mod clock;
 pub mod command;
@@ -11,6 +11,7 @@
 pub mod dispatch;
 pub mod engine;
 pub mod fault;
+pub mod journal;
 pub mod link;
 pub mod log;
 pub mod node;
@@ -25,13 +26,15 @@
 
 use fault::Fault;
 use gcl_core::{id::Term, server::Report};
+use journal::Journal;
 use log::Entry;
-use node::Leader;
+use node::{Leader, Node};
 use serde::Deserialize;
 use shared::Shared;
 use std::{
     io,
     net::{Ipv4Addr, SocketAddr},
+    path::PathBuf,
     sync::Arc,
     time::Duration,
 };
@@ -81,8 +84,10 @@
     pub statement_delay: Duration,
     /// How far it lags as a replica.
     pub lag: Lag,
-    /// What it does in its group at its start.
+    /// What it does in its group at its first start.
     pub boot: Boot,
+    /// The file that keeps its state over a kill of the process; without one it starts empty.
+    pub journal: Option<PathBuf>,
 }
 
 impl Default for Options {
@@ -96,6 +101,7 @@
             statement_delay: Duration::ZERO,
             lag: Lag::default(),
             boot: Boot::Empty,
+            journal: None,
         }
     }
 }
@@ -109,16 +115,18 @@
 }
 
 impl Server {
-    /// Starts an empty server.
+    /// Starts a server, as its journal left it or empty.
     ///
     /// # Errors
-    /// What `SQLite` or the socket reports.
+    /// What `SQLite`, the file system or the socket reports.
     pub async fn start(options: Options) -> io::Result<Self> {
         let listener = TcpListener::bind(options.address).await?;
         let address = listener.local_addr()?;
-        let shared = Shared::new(options).map_err(|error| io::Error::other(error.message))?;
-        let shared = Arc::new(shared);
-        boot(&shared);
+        let (node, is_new) = load(&options)?;
+        let shared = Arc::new(Shared::new(options, node));
+        if is_new {
+            boot(&shared);
+        }
         let tasks = vec![
             tokio::spawn(listen(Arc::clone(&shared), listener, address)),
             tokio::spawn(replication::run(Arc::clone(&shared))),
@@ -208,6 +216,17 @@
     }
 }
 
+/// The state that the options give, and whether the server starts for the first time.
+fn load(options: &Options) -> io::Result<(Node, bool)> {
+    let (journal, lines) = match &options.journal {
+        Some(path) => Journal::open(path)?,
+        None => (Journal::default(), Vec::new()),
+    };
+    let is_new = lines.is_empty();
+    let node = Node::restore(journal, lines).map_err(|error| io::Error::other(error.message))?;
+    Ok((node, is_new))
+}
+
 fn boot(shared: &Shared) {
     let mut node = shared.node();
     match &shared.options.boot {
--- a/crates/gcl-standin/src/database/node.rs
+++ b/crates/gcl-standin/src/database/node.rs
@@ -5,6 +5,7 @@
 
 use super::{
     engine::{Engine, Error, Result, Rows, Shape},
+    journal::{Journal, Line},
     log::{Entry, Log, Span, Statement},
     sql::Text,
     value::Value,
@@ -14,6 +15,7 @@
     mark::Mark,
     server::{Report, Role},
 };
+use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
 /// SQLSTATE of a write where none is accepted.
@@ -23,7 +25,7 @@
 pub type Session = u64;
 
 /// The primary that a server follows.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Leader {
     /// The term it is followed at.
     pub term: Term,
@@ -53,6 +55,7 @@
     engine: Engine,
     writer: Option<Session>,
     written: Vec<Statement>,
+    journal: Journal,
 }
 
 impl Node {
@@ -70,9 +73,29 @@
             engine: Engine::open()?,
             writer: None,
             written: Vec::new(),
+            journal: Journal::default(),
         })
     }
 
+    /// A server as its journal left it, a replica that writes the journal on.
+    ///
+    /// # Errors
+    /// What `SQLite` reports.
+    pub fn restore(journal: Journal, lines: Vec<Line>) -> Result<Self> {
+        let mut node = Self::new()?;
+        for line in lines {
+            match line {
+                Line::Term(term) => node.term = term,
+                Line::Follow(leader) => node.leader = Some(leader),
+                Line::Entry(entry) => drop(node.log.accept(entry)),
+                Line::Truncate(position) => node.log.truncate(position),
+            }
+        }
+        while node.apply_next() {}
+        node.journal = journal;
+        Ok(node)
+    }
+
     /// The server's account of itself.
     #[must_use]
     pub fn report(&self) -> Report {
@@ -124,7 +147,7 @@
         }
         while self.apply_next() {}
         self.role = Role::Primary;
-        self.applied = self.log.append(term, Vec::new()).position;
+        self.append(term, Vec::new());
         true
     }
 
@@ -137,6 +160,7 @@
         if term > self.term {
             self.enter(term);
         }
+        self.journal.write(&Line::Follow(leader.clone()));
         self.leader = Some(leader);
         true
     }
@@ -149,6 +173,7 @@
 
     fn enter(&mut self, term: Term) {
         self.drop_writer();
+        self.journal.write(&Line::Term(term));
         self.term = term;
         self.role = Role::Replica;
         self.leader = None;
@@ -250,9 +275,21 @@
         self.writer = None;
         let written = std::mem::take(&mut self.written);
         self.engine.commit(&written)?;
-        let mark = self.log.append(self.term, written);
+        Ok(self.append(self.term, written))
+    }
+
+    fn append(&mut self, term: Term, statements: Vec<Statement>) -> Mark {
+        let mark = self.log.append(term, statements);
         self.applied = mark.position;
-        Ok(mark)
+        self.keep(mark.position);
+        mark
+    }
+
+    /// Writes the entry at a position to the journal.
+    fn keep(&mut self, position: Position) {
+        if let Some(entry) = self.log.get(position) {
+            self.journal.write(&Line::Entry(entry.clone()));
+        }
     }
 
     /// Rolls back what a session wrote, if it holds the writing connection.
@@ -271,7 +308,12 @@
     /// Takes an entry of the primary followed at `term`; false if the server moved on or the entry
     /// does not come next.
     pub fn accept(&mut self, term: Term, entry: Entry) -> bool {
-        self.follows(term) && self.log.accept(entry)
+        let position = entry.mark.position;
+        let accepted = self.follows(term) && self.log.accept(entry);
+        if accepted {
+            self.keep(position);
+        }
+        accepted
     }
 
     /// Whether the server follows a primary at exactly `term`.
@@ -308,7 +350,10 @@
             return Ok(());
         }
         let common = self.log.common(theirs);
-        self.log.truncate(common);
+        if common < self.log.last().position {
+            self.journal.write(&Line::Truncate(common));
+            self.log.truncate(common);
+        }
         if self.applied > common {
             self.engine = Engine::open()?;
             self.applied = 0;
--- a/crates/gcl-standin/src/database/settings.rs
+++ b/crates/gcl-standin/src/database/settings.rs
@@ -3,7 +3,7 @@
 use super::{Boot, Lag, Options};
 use eyre::WrapErr;
 use serde::Deserialize;
-use std::{net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, path::PathBuf, time::Duration};
 
 /// What reading settings returns.
 pub type Result<T> = eyre::Result<T>;
@@ -38,6 +38,9 @@
     /// `{"follow": {"server": NAME, "address": "ip:port"}}`.
     #[serde(default)]
     pub boot: Boot,
+    /// The file that keeps the server's state over a kill of the process.
+    #[serde(default)]
+    pub journal: Option<PathBuf>,
 }
 
 fn connections() -> usize {
@@ -74,6 +77,7 @@
                 apply: Duration::from_millis(self.apply_lag_ms),
             },
             boot: self.boot,
+            journal: self.journal,
         }
     }
 }
--- a/crates/gcl-standin/src/database/shared.rs
+++ b/crates/gcl-standin/src/database/shared.rs
@@ -53,15 +53,13 @@
 }
 
 impl Shared {
-    /// The shared part of a server that starts empty.
-    ///
-    /// # Errors
-    /// What `SQLite` reports.
-    pub fn new(options: Options) -> Result<Self> {
-        Ok(Self {
+    /// The shared part of a server.
+    #[must_use]
+    pub fn new(options: Options, node: Node) -> Self {
+        Self {
             slots: Semaphore::new(options.slots),
             life: watch::Sender::new(0),
-            node: Mutex::new(Node::new()?),
+            node: Mutex::new(node),
             faults: watch::Sender::new(Faults::default()),
             changes: watch::Sender::new(0),
             lag: Mutex::new(options.lag),
@@ -69,7 +67,7 @@
             connections: AtomicUsize::new(0),
             sessions: AtomicU64::new(0),
             options,
-        })
+        }
     }
 
     /// The server's state, locked.
--- a/crates/gcl-standin/tests/standin/database.rs
+++ b/crates/gcl-standin/tests/standin/database.rs
@@ -2,7 +2,7 @@
 
 use crate::fixture::{ask, connect, follow, group};
 use gcl_core::{mark::Mark, server::Role};
-use gcl_standin::database::{Boot, Lag, Server, fault::Fault, settings::Settings};
+use gcl_standin::database::{Boot, Lag, Options, Server, fault::Fault, settings::Settings};
 use std::time::Duration;
 use tokio_postgres::{Client, error::SqlState};
 
@@ -102,3 +102,24 @@
     let unknown = Settings::parse(r#"{ "name": "a", "address": "127.0.0.1:0", "lag": 1 }"#);
     assert!(unknown.is_err(), "unknown fields are refused");
 }
+
+#[tokio::test]
+async fn a_journal_keeps_the_state_over_a_kill() {
+    let path = std::env::temp_dir().join(format!("standin-journal-{}", std::process::id()));
+    let options =
+        || Options { boot: Boot::Primary, journal: Some(path.clone()), ..Options::default() };
+    let server = Server::start(options()).await.expect("a port is free");
+    let client = connect(&server, "").await;
+    client.batch_execute("CREATE TABLE booking (id int8 PRIMARY KEY)").await.expect("ok");
+    client.batch_execute("INSERT INTO booking VALUES (1)").await.expect("ok");
+    ask(&server, "goldcrest_fence(5)").await;
+    let (report, log) = (server.report(), server.log());
+    drop(server);
+    let cut = std::fs::read(&path).expect("the journal is there");
+    std::fs::write(&path, [cut.as_slice(), b"{\"Term\":"].concat()).expect("it can be written");
+    let server = Server::start(options()).await.expect("a port is free");
+    std::fs::remove_file(&path).expect("it was there");
+    assert_eq!((server.report(), server.log()), (report, log));
+    assert_eq!(server.report().role, Role::Replica);
+    assert_eq!(count(&connect(&server, "").await).await, 1);
+}
