fix(backend): leave the mark out when a read turns into a write

The first half of such a batch saw a newer mark, which the refusal then carried, so that the home took it for a commit and did not send the batch to the primary.

--- a/crates/gcl-backend/src/data.rs
+++ b/crates/gcl-backend/src/data.rs
@@ -114,6 +114,8 @@
     waiting: VecDeque<Command>,
     /// The mark when the present batch began.
     before: Option<Mark>,
+    /// Whether the present batch cannot commit a write.
+    read_only: bool,
     cancels: JoinSet<io::Result<()>>,
 }
 
@@ -166,6 +168,7 @@
             commands: start.commands,
             waiting: VecDeque::new(),
             before: login.mark,
+            read_only: false,
             cancels: JoinSet::new(),
         }
     }
@@ -241,6 +244,7 @@
 
     async fn run(&mut self, run: &Run) -> Result<Ended> {
         self.before = self.mark;
+        self.read_only = run.read_only;
         if self.link.is_closed() {
             return Err(Broken { sent: false });
         }
@@ -444,8 +448,8 @@
     /// The event's account of an answer.
     pub fn ended(&self, part: Part) -> Ended {
         let status = part.status;
-        let moved = self.mark != self.before;
-        let told = status == Status::Idle && (part.error.is_none() || moved);
+        let committed = self.mark != self.before && !self.read_only;
+        let told = status == Status::Idle && (part.error.is_none() || committed);
         let mark = self.mark.filter(|_| told);
         if part.too_large {
             return Ended::TooLarge { status, mark };
--- a/crates/gcl-backend/tests/backend/data.rs
+++ b/crates/gcl-backend/tests/backend/data.rs
@@ -354,3 +354,14 @@
         assert_eq!(bench.event().await, Event::Reset { connection, clean: true });
     }
 }
+
+#[tokio::test]
+async fn a_read_that_turns_into_a_write_has_no_mark() {
+    let mut bench = Bench::start().await;
+    let (connection, other) = (bench.open().await, bench.open().await);
+    bench.sql(other, CREATE).await;
+    let script = "SELECT id FROM booking; INSERT INTO booking VALUES (1, 'x')";
+    let run = crate::fixture::Run { read_only: true, ..simple(script) };
+    let answer = answered(bench.run(connection, run).await);
+    assert_eq!((answer.error.as_deref(), answer.mark), (Some("25006"), None));
+}
