fix(home): end at once what runs on a replaced primary, and be ready only when confirmed

Cause: a stream of numbered bookings under an isolated and a frozen primary left one idempotent booking in doubt: its statement hung on the old primary until the entry's deadline of 10 s, so no try was left. Ruled out: the retry policy (other lost answers are repeated) and the home's memory of fates. A home that learns a new leader now gives up what runs on the replaced one, and the entry repeats what is idempotent. A second failure was a daemon that reported itself ready before any configuration was confirmed, and refused its first caller.

--- a/crates/gcl-core/src/group/mod.rs
+++ b/crates/gcl-core/src/group/mod.rs
@@ -299,6 +299,7 @@
     view::announce(daemon, now, fx, database, view::Reach::All);
     round::settle(daemon, now, fx, database);
     report::on_leader(daemon, now, fx, database);
+    crate::home::end::on_leader_change(daemon, now, fx, database);
     crate::request::on_leader_change(daemon, now, fx, database);
 }
 
--- a/crates/gcl-core/src/home/end.rs
+++ b/crates/gcl-core/src/home/end.rs
@@ -122,6 +122,40 @@
     end_use(daemon, now, fx, usage, true);
 }
 
+/// Ends at once what runs on a primary that another one has replaced: it can no longer be
+/// acknowledged, and a server that hangs would keep its callers waiting until their deadlines.
+pub fn on_leader_change(daemon: &mut Daemon, now: Now, fx: &mut Effects, database: &id::Database) {
+    let Some(leader) = group::leader(daemon, database) else {
+        return;
+    };
+    let group = daemon.config.snapshot.group(database);
+    let replaced: Vec<id::Server> =
+        group.iter().filter(|server| **server != leader.server).cloned().collect();
+    for server in replaced {
+        for connection in bound_to_primary(daemon, &server) {
+            give_up(daemon, now, fx, &server, connection);
+        }
+        pump(daemon, now, fx, &server);
+    }
+}
+
+/// The connections to a server whose work needs it to be primary.
+fn bound_to_primary(daemon: &Daemon, server: &id::Server) -> Vec<id::Connection> {
+    let Some(pool) = daemon.home.pools.get(server) else {
+        return Vec::new();
+    };
+    let bound = |usage: &Use| match usage {
+        Use::Running(work) => daemon
+            .home
+            .tasks
+            .get(&work.request)
+            .is_some_and(|task| !matches!(task.run.access, Access::Replica { .. })),
+        _ => false,
+    };
+    let connections = pool.connections.iter();
+    connections.filter(|(_, held)| bound(&held.usage)).map(|(id, _)| *id).collect()
+}
+
 fn discard(
     daemon: &mut Daemon,
     now: Now,
--- a/crates/gcl-core/src/reduce.rs
+++ b/crates/gcl-core/src/reduce.rs
@@ -28,6 +28,7 @@
     while let Some(event) = queue.pop_front() {
         let version = state.config.version;
         dispatch(state, now, &mut fx, event);
+        report_readiness(state, &mut fx);
         if state.config.version != version {
             on_config(state, now, &mut fx);
         }
@@ -43,6 +44,15 @@
     done
 }
 
+/// A daemon is ready for callers from the first confirmed configuration until it drains.
+fn report_readiness(state: &mut State, fx: &mut Effects) {
+    let ready = !state.draining && state.config.confirmed.is_some();
+    if ready != state.ready {
+        state.ready = ready;
+        fx.push(Effect::Ready(ready));
+    }
+}
+
 fn own(state: &State, message: peer::Message) -> Event {
     let from = state.settings.daemon.clone();
     Event::Peer(peer::Event::Received { from, incarnation: state.incarnation, message })
@@ -122,7 +132,6 @@
     group::on_config(state, now, fx);
     home::on_config(state, now, fx);
     session::on_config(state, now, fx);
-    fx.push(Effect::Ready(!state.draining));
 }
 
 fn on_timer(state: &mut State, now: Now, fx: &mut Effects, key: &timer::Key) {
@@ -149,7 +158,8 @@
 
 fn on_tick(state: &mut State, now: Now, fx: &mut Effects) {
     fx.arm(timer::Key::Tick, now.mono + TICK);
-    if state.draining && !request::busy(state) && !home::busy(state) {
+    let idle = !request::busy(state) && !home::busy(state);
+    if state.draining && (idle || now.mono >= state.drain_until) {
         fx.push(Effect::Exit);
     }
 }
@@ -159,7 +169,7 @@
         return;
     }
     state.draining = true;
-    fx.push(Effect::Ready(false));
+    state.drain_until = now.mono + Duration::from_millis(state.settings.bounds.drain_ms);
     fx.push(Effect::CloseListeners);
     session::drain(state, now, fx);
     limit::drain(state, now, fx);
--- a/crates/gcl-core/src/state.rs
+++ b/crates/gcl-core/src/state.rs
@@ -4,6 +4,7 @@
     config, group, home, id, limit, member, operation, random::Random, record, request, session,
     settings::Settings,
 };
+use std::time::Duration;
 
 /// Counters that hand out ids.
 #[derive(Clone, Debug, Default)]
@@ -52,6 +53,10 @@
     pub counters: Counters,
     /// Whether it is draining.
     pub draining: bool,
+    /// When it stops draining whatever is left, on its monotonic clock.
+    pub drain_until: Duration,
+    /// Whether it has reported itself ready for callers.
+    pub ready: bool,
     /// The configuration.
     pub config: config::State,
     /// The other daemons.
@@ -84,6 +89,8 @@
             random,
             counters: Counters { incarnation, last: 0 },
             draining: false,
+            drain_until: Duration::ZERO,
+            ready: false,
             config: config::State::default(),
             member: member::State::default(),
             session: session::State::default(),
--- a/crates/gcl-daemon/tests/e2e/main.rs
+++ b/crates/gcl-daemon/tests/e2e/main.rs
@@ -1,4 +1,5 @@
 //! Daemons as processes of their own, with stand-ins for the platform and the databases.
 
+mod bookings;
 mod fleet;
 mod path;
