--- a/crates/gcl-core/src/group/round.rs
+++ b/crates/gcl-core/src/group/round.rs
@@ -39,7 +39,7 @@
 /// Age of a majority's reports beyond which no write is started.
 const WRITABLE_BOUND: Duration = Duration::from_secs(1);
 /// When to come back after a proof failed.
-const RETRY_AFTER: Duration = Duration::from_millis(50);
+const RETRY_AFTER: Duration = Duration::from_millis(20);
 
 /// Who waits for a proof.
 #[derive(Clone, Debug, PartialEq, Eq)]
--- a/crates/gcl-core/src/group/switch.rs
+++ b/crates/gcl-core/src/group/switch.rs
@@ -18,7 +18,7 @@
 use std::time::Duration;
 
 /// Time without a new commit after which no write is under way.
-const QUIET: Duration = Duration::from_millis(20);
+const QUIET: Duration = Duration::from_millis(10);
 /// Longest wait for writes under way.
 const DRAIN: Duration = Duration::from_millis(100);
 /// Longest wait for the next primary to catch up.
