--- a/crates/gcl-cli/src/exit.rs
+++ b/crates/gcl-cli/src/exit.rs
@@ -1,13 +1,12 @@
 //! How the tool ends.
 
-use gcl_core::code::Fault;
 use std::{fmt, process::ExitCode};
 
 /// Why the tool did not do what was asked.
 #[derive(Clone, Debug)]
 pub enum Failure {
     /// The daemon refused.
-    Refused(Fault),
+    Refused(String),
     /// Some objects were not changed; the report has been printed.
     Incomplete,
     /// The command line or a file is wrong.
@@ -41,9 +40,8 @@
 impl fmt::Display for Failure {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Refused(fault) => write!(f, "{fault}"),
             Self::Incomplete => f.write_str("not every object was changed"),
-            Self::Usage(text) => f.write_str(text),
+            Self::Refused(text) | Self::Usage(text) => f.write_str(text),
             Self::Unreachable(text) => write!(f, "the daemon did not answer: {text}"),
             Self::Conflict => f.write_str("an object was changed by someone else"),
             Self::Unknown => f.write_str("a change may or may not have been made; look again"),
--- a/crates/gcl-core/src/operation/work.rs
+++ b/crates/gcl-core/src/operation/work.rs
@@ -31,7 +31,7 @@
 /// Longest wait for a relay to take note of a change.
 const ANNOUNCE: Duration = Duration::from_secs(2);
 /// Longest time for all of a plan.
-const DEADLINE: Duration = Duration::from_secs(30);
+const DEADLINE: Duration = Duration::from_secs(25);
 /// Tries of one object.
 const TRIES: u32 = 4;
 /// Reads of an object in doubt, after which it stays in doubt.
--- a/crates/gcl-standin/src/platform/load.rs
+++ b/crates/gcl-standin/src/platform/load.rs
@@ -14,7 +14,13 @@
     let text = fs::read_to_string(path).wrap_err_with(|| format!("reading {}", path.display()))?;
     let items = file::read(&text).map_err(|faults| {
         let faults = faults.iter().map(|fault| format!("{}:{fault}", path.display()));
-        eyre!("{}", faults.collect::<Vec<_>>().join("\n"))
+        eyre!(
+            "{}",
+            faults.collect::<Vec<_>>().join(
+                "
+"
+            )
+        )
     })?;
     for item in &items {
         put(platform, &item.object)?;
