--- a/crates/gcl-core/src/settings/parse.rs
+++ b/crates/gcl-core/src/settings/parse.rs
@@ -64,8 +64,7 @@
     let settings: Settings =
         parse_to_serde_value(text, &options).map_err(|error| syntax(&error))?;
     for (path, what) in check::check(&settings) {
-        let place = walk.places.get(path.as_str()).copied().unwrap_or(0);
-        walk.fault(place, what);
+        walk.fault(walk.place(&path), what);
     }
     walk.finish()?;
     Ok(settings)
@@ -97,6 +96,13 @@
 }
 
 impl Walk<'_> {
+    /// Where a field stands, or the object that would hold it.
+    fn place(&self, path: &str) -> usize {
+        let object = path.rsplit_once('.').map(|(object, _)| object);
+        let place = self.places.get(path).or_else(|| self.places.get(object?));
+        place.copied().unwrap_or(0)
+    }
+
     fn fault(&mut self, at: usize, what: String) {
         self.problems.push((at, what));
     }
--- a/crates/gcl-core/src/statement/lexer.rs
+++ b/crates/gcl-core/src/statement/lexer.rs
@@ -43,7 +43,11 @@
 
     fn skip_blanks(&mut self) {
         loop {
-            match (self.byte(self.at), self.byte(self.at + 1)) {
+            let byte = self.byte(self.at);
+            if byte > b'/' {
+                return;
+            }
+            match (byte, self.byte(self.at + 1)) {
                 (b' ' | b'\t' | b'\n' | b'\r' | 0x0c, _) => self.at += 1,
                 (b'-', b'-') => {
                     let rest = self.text.as_bytes().get(self.at..).unwrap_or_default();
@@ -128,8 +132,23 @@
     }
 }
 
+/// Whether each byte may be part of a name.
+const NAME: [bool; 256] = names();
+
+const fn names() -> [bool; 256] {
+    let mut table = [false; 256];
+    let mut byte = 0_u8;
+    loop {
+        table[byte as usize] = byte.is_ascii_alphanumeric() || byte == b'_' || byte >= 0x80;
+        if byte == u8::MAX {
+            return table;
+        }
+        byte += 1;
+    }
+}
+
 const fn is_name(byte: u8) -> bool {
-    byte.is_ascii_alphanumeric() || byte == b'_' || byte >= 0x80
+    NAME[byte as usize]
 }
 
 impl<'a> Iterator for Lexer<'a> {
--- a/crates/gcl-core/tests/core/settings.rs
+++ b/crates/gcl-core/tests/core/settings.rs
@@ -79,7 +79,7 @@
 #[test_case(
     "\"idle_ms\": 60000",
     "\"idle_ms\": 20000",
-    "1:1: transaction_idle_ms is at most idle_ms"
+    "7:15: transaction_idle_ms is at most idle_ms"
 )]
 fn finds_what_contradicts_itself(part: &str, other: &str, fault: &str) {
     assert_eq!(faults(&GOOD.replacen(part, other, 1)), [fault]);
