--- a/crates/gcl-core/src/config/placement.rs
+++ b/crates/gcl-core/src/config/placement.rs
@@ -4,7 +4,7 @@
 //! rule selects by them, workspace labels; they place every request alike.
 
 use super::{
-    object::{Labels, Object, Phase, Rule},
+    object::{Database, Labels, Object, Phase, Rule},
     selector::Selector,
     snapshot::Snapshot,
 };
@@ -27,10 +27,8 @@
 }
 
 impl Set {
-    fn of(snapshot: &Snapshot, service: &str, selector: &Selector) -> Self {
-        let databases = snapshot.databases.values().map(|database| &database.value);
-        let chosen = databases
-            .filter(|database| database.service == service && selector.matches(&database.labels));
+    fn of(databases: &[&Database], selector: &Selector) -> Self {
+        let chosen = databases.iter().filter(|database| selector.matches(&database.labels));
         let mut nodes: Vec<Node> = chosen
             .map(|database| Node {
                 database: database.name.clone(),
@@ -123,12 +121,15 @@
         for service in snapshot.services.keys() {
             all.insert(service.clone(), Self::default());
         }
+        let mut databases: IndexMap<&str, Vec<&Database>> = IndexMap::new();
         for database in snapshot.databases.values() {
             note(&mut all, &database.value.service, database.revision);
+            databases.entry(&database.value.service).or_default().push(&database.value);
         }
         for rule in snapshot.rules.values() {
             note(&mut all, &rule.value.service, rule.revision);
-            let route = route(snapshot, &rule.value);
+            let own = databases.get(rule.value.service.as_str()).map_or(&[][..], Vec::as_slice);
+            let route = route(own, &rule.value);
             if let (Some(route), Some(place)) = (route, all.get_mut(&rule.value.service)) {
                 place.labelled |= !route.workspaces.is_empty();
                 place.routes.push(route);
@@ -161,10 +162,8 @@
 }
 
 /// A rule whose selectors cannot be read admits nobody.
-fn route(snapshot: &Snapshot, rule: &Rule) -> Option<Route> {
-    let set = |text: &str| {
-        Selector::parse(text).ok().map(|chosen| Set::of(snapshot, &rule.service, &chosen))
-    };
+fn route(databases: &[&Database], rule: &Rule) -> Option<Route> {
+    let set = |text: &str| Selector::parse(text).ok().map(|chosen| Set::of(databases, &chosen));
     let next = match (rule.phase, &rule.next) {
         (Phase::Open, _) => None,
         (Phase::Closing, Some(next)) => Some(set(next)?),
--- a/crates/gcl-standin/tests/standin/main.rs
+++ b/crates/gcl-standin/tests/standin/main.rs
@@ -4,3 +4,4 @@
 mod driver;
 mod fixture;
 mod history;
+mod platform;
