--- a/crates/gcl-core/examples/limits.rs
+++ b/crates/gcl-core/examples/limits.rs
@@ -14,7 +14,7 @@
 
 use fleet::{Fleet, Global};
 use gcl_core::random::Random;
-use std::time::Duration;
+use std::{ops::Range, time::Duration};
 
 /// Failure domains and regions of the daemons.
 const PLACES: [(&str, &str); 8] = [
@@ -34,6 +34,8 @@
 const RUN: Duration = Duration::from_mins(1);
 /// When the fault begins.
 const FAULT: Duration = Duration::from_secs(20);
+/// Seeds of the runs that a figure sums up.
+const SEEDS: Range<u64> = 40..50;
 /// Demand of a calm workspace as a part of its rate.
 const CALM: f64 = 0.7;
 /// Demand of a noisy workspace as a part of its rate.
@@ -102,23 +104,41 @@
 }
 
 fn borrowing(case: &Case) {
-    let mut fleet = Fleet::new(&PLACES, &WORKSPACES, 42);
+    let mut counts = [[0; 4]; WORKSPACES.len()];
+    let mut lowest = [f64::MAX; WORKSPACES.len()];
+    let (mut writes, mut reads, mut messages) = (0, 0, 0);
+    for seed in SEEDS {
+        let fleet = run(case, seed);
+        for (number, tally) in fleet.tallies.values().enumerate() {
+            let parts = [tally.asked, tally.granted, tally.entitled, tally.wrongful];
+            counts[number].iter_mut().zip(parts).for_each(|(sum, part)| *sum += part);
+            lowest[number] = lowest[number].min(tally.lowest);
+        }
+        writes += fleet.platform.writes;
+        reads += fleet.platform.reads;
+        messages += fleet.messages;
+    }
+    for (number, (workspace, ..)) in WORKSPACES.iter().enumerate() {
+        report(case, workspace, "borrowing seats", counts[number], (-lowest[number]).max(0.0));
+    }
+    let runs = SEEDS.end - SEEDS.start;
+    let (writes, reads) = (writes / runs, reads / runs);
+    let messages = messages / runs / RUN.as_secs() / PLACES.len() as u64;
+    let name = case.name;
+    println!(
+        "{name} | all | calls | {writes} writes, {reads} reads | {messages} messages/s a daemon |"
+    );
+}
+
+fn run(case: &Case, seed: u64) -> Fleet {
+    let mut fleet = Fleet::new(&PLACES, &WORKSPACES, seed);
     for (workspace, rate, _) in WORKSPACES {
         fleet.traffic(workspace, demand(case, workspace, rate), &case.weights, RUN.as_secs());
     }
     fleet.run_until(FAULT);
     (case.fault)(&mut fleet);
     fleet.run_until(RUN + Duration::from_secs(2));
-    for (workspace, tally) in &fleet.tallies {
-        let counts = [tally.asked, tally.granted, tally.entitled, tally.wrongful];
-        report(case, workspace, "borrowing seats", counts, (-tally.lowest).max(0.0));
-    }
-    let (writes, reads) = (fleet.platform.writes, fleet.platform.reads);
-    let messages = fleet.messages / RUN.as_secs() / PLACES.len() as u64;
-    println!(
-        "{} | all | calls | {writes} writes, {reads} reads | {messages} messages/s a daemon |",
-        case.name
-    );
+    fleet
 }
 
 /// The arrivals of a workspace: time and daemon.
