feat(cli): question the record and replay traces from the command line

Cause: the record's checks and the traces had no command. The secret of a key is now hashed where it is read, so that a trace replays a login and no state, trace or log can hold the secret; before, a trace wrote it as empty and its login replayed as refused.

--- a/crates/gcl-audit/src/lib.rs
+++ b/crates/gcl-audit/src/lib.rs
@@ -5,5 +5,6 @@
 
 pub mod explain;
 pub mod read;
+pub mod replay;
 pub mod report;
 pub mod verify;
--- a/crates/gcl-audit/tests/audit/main.rs
+++ b/crates/gcl-audit/tests/audit/main.rs
@@ -3,5 +3,6 @@
 mod explain;
 mod fixture;
 mod read;
+mod replay;
 mod report;
 mod verify;
--- a/crates/gcl-cli/src/main.rs
+++ b/crates/gcl-cli/src/main.rs
@@ -4,9 +4,11 @@
 //! 4 a conflict with another change, 5 the outcome is unknown.
 
 mod arguments;
+mod audit;
 mod client;
 mod command;
 mod exit;
+mod replay;
 mod secret;
 mod table;
 
@@ -18,13 +20,10 @@
 
 fn main() -> ExitCode {
     let words: Vec<String> = env::args().skip(1).collect();
-    let result = match arguments::parse(&words) {
-        Ok(Outcome::Text(text)) => {
-            print!("{text}");
-            Ok(())
-        }
-        Ok(Outcome::Run(arguments)) => run(&arguments),
-        Err(failure) => Err(failure),
+    let result = match words.split_first() {
+        Some((word, rest)) if word == "audit" => audit::run(rest),
+        Some((word, rest)) if word == "replay" => replay::run(rest),
+        _ => operate(&words),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
@@ -35,6 +34,17 @@
     }
 }
 
+/// Runs a command that a daemon answers.
+fn operate(words: &[String]) -> exit::Result<()> {
+    match arguments::parse(words)? {
+        Outcome::Text(text) => {
+            print!("{text}");
+            Ok(())
+        }
+        Outcome::Run(arguments) => run(&arguments),
+    }
+}
+
 fn run(arguments: &Arguments) -> exit::Result<()> {
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     let runtime = runtime.map_err(|error| Failure::Usage(format!("no runtime: {error}")))?;
--- a/crates/gcl-core/src/caller.rs
+++ b/crates/gcl-core/src/caller.rs
@@ -3,42 +3,46 @@
 use crate::{
     batch::{Frame, Status},
     code::{Code, Fault},
+    id, key,
 };
 use bytes::Bytes;
 use compact_str::CompactString;
 use serde::{Deserialize, Serialize};
 use std::{fmt, net::SocketAddr};
 
-/// A caller's key as it came, never printed or serialised in clear.
-#[derive(Clone, Default, PartialEq, Eq, Deserialize)]
-pub struct Secret(String);
+/// A caller's key as far as the reducer sees it: its public half, and the hash of its secret half.
+///
+/// The secret itself is forgotten where it is read, so that no state, trace or log can hold it.
+#[derive(Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Secret {
+    name: id::Key,
+    hash: CompactString,
+}
 
 impl Secret {
-    /// Wraps the text of a key.
+    /// Takes a key as the caller sent it, `id.secret`.
     #[must_use]
-    pub const fn new(text: String) -> Self {
-        Self(text)
+    pub fn new(text: &str) -> Self {
+        let (name, secret) = text.split_once('.').unwrap_or_default();
+        Self { name: name.into(), hash: key::hash(secret).into() }
     }
 
-    /// The text, for comparison at the entry only.
+    /// The public half, empty for a text that is no key.
     #[must_use]
-    pub fn expose(&self) -> &str {
-        &self.0
+    pub const fn name(&self) -> &id::Key {
+        &self.name
     }
-}
 
-impl fmt::Debug for Secret {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str("Secret")
+    /// SHA-256 of the secret half, hexadecimal.
+    #[must_use]
+    pub const fn hash(&self) -> &CompactString {
+        &self.hash
     }
 }
 
-impl Serialize for Secret {
-    fn serialize<S: serde::Serializer>(
-        &self,
-        serializer: S,
-    ) -> std::result::Result<S::Ok, S::Error> {
-        serializer.serialize_str("")
+impl fmt::Debug for Secret {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Secret").field("name", &self.name).finish_non_exhaustive()
     }
 }
 
--- a/crates/gcl-core/src/key.rs
+++ b/crates/gcl-core/src/key.rs
@@ -1,4 +1,4 @@
-//! Keys of workspaces: `id.secret`, of which the secret is compared here and goes no further.
+//! Keys of workspaces: `id.secret`, of which only a hash of the secret is known and compared.
 
 use crate::{
     caller::Secret,
@@ -33,9 +33,8 @@
         return Err(Fault::new(Code::UnknownWorkspace, "no such workspace"));
     }
     let wrong = || Fault::new(Code::WrongKey, "the password is not a key of the workspace");
-    let (name, secret) = secret.expose().split_once('.').ok_or_else(wrong)?;
-    let key = &snapshot.keys.get(name).ok_or_else(wrong)?.value;
-    let equal = bool::from(hash(secret).as_bytes().ct_eq(key.hash.as_bytes()));
+    let key = &snapshot.keys.get(secret.name()).ok_or_else(wrong)?.value;
+    let equal = bool::from(secret.hash().as_bytes().ct_eq(key.hash.as_bytes()));
     if !equal || key.workspace != workspace {
         return Err(wrong());
     }
--- a/crates/gcl-core/tests/core/key.rs
+++ b/crates/gcl-core/tests/core/key.rs
@@ -33,7 +33,7 @@
 #[test_case("nobody", "good.hush", Some(Code::UnknownWorkspace))]
 fn authenticates(workspace: &str, secret: &str, code: Option<Code>) {
     let state = with_keys();
-    let secret = Secret::new(secret.to_owned());
+    let secret = Secret::new(secret);
     let result = key::authenticate(&state.config.snapshot, workspace, &secret);
     assert_eq!(result.err().map(|fault| fault.code), code);
 }
--- a/crates/gcl-core/tests/core/session.rs
+++ b/crates/gcl-core/tests/core/session.rs
@@ -56,7 +56,7 @@
 
     fn open_with(parameters: &[(&str, &str)]) -> Self {
         let mut caller = Self::starting(parameters);
-        caller.say(Said::Password(Secret::new(format!("k1.{SECRET}"))));
+        caller.say(Said::Password(Secret::new(&format!("k1.{SECRET}"))));
         assert!(caller.replies().contains(&Reply::Welcome), "{:?}", caller.effects);
         caller
     }
@@ -182,7 +182,7 @@
 #[test_case("", Code::WrongKey; "no key")]
 fn a_wrong_key_is_refused_for_good(password: &str, code: Code) {
     let mut caller = Caller::starting(&[]);
-    caller.say(Said::Password(Secret::new(password.to_owned())));
+    caller.say(Said::Password(Secret::new(password)));
     assert_eq!(caller.refusal(), Some((code, true)));
     assert_eq!(caller.noted(Noted::Login).and_then(|line| line.code), Some(code));
     assert!(caller.state.session.sessions.is_empty());
@@ -398,7 +398,7 @@
 #[test]
 fn a_cancel_request_needs_the_secret() {
     let mut caller = Caller::starting(&[]);
-    caller.say(Said::Password(Secret::new(format!("k1.{SECRET}"))));
+    caller.say(Said::Password(Secret::new(&format!("k1.{SECRET}"))));
     let shown = caller.replies().iter().find_map(|reply| match reply {
         Reply::CancelKey { process, secret } => Some((*process, *secret)),
         _ => None,
--- a/crates/gcl-daemon/src/caller/codec.rs
+++ b/crates/gcl-daemon/src/caller/codec.rs
@@ -175,7 +175,7 @@
         b'H' => Event::Flush,
         b'S' => Event::Sync,
         b'X' => Event::Terminate,
-        b'p' => Event::Password(Secret::new(text(&mut body)?.to_owned_string())),
+        b'p' => Event::Password(Secret::new(&text(&mut body)?.to_owned_string())),
         b'F' | b'd' | b'c' | b'f' => return Ok(Event::Unsupported(tag)),
         _ => return Err(Error::Malformed(format_compact!("unknown message type {tag:#04x}"))),
     };
