test(core): a commit counts only at its own term

The generated histories did not notice when the term of a replica's last entry was ignored, because an old tail is seldom longer than the new log. The home is now given such a report.

--- a/crates/gcl-core/tests/core/group/mod.rs
+++ b/crates/gcl-core/tests/core/group/mod.rs
@@ -1,6 +1,7 @@
 //! Tests of `gcl_core::group`: three homes over a fake group, under faults.
 
 mod history;
+mod hold;
 mod server;
 mod world;
 
