--- a/crates/gcl-core/src/lib.rs
+++ b/crates/gcl-core/src/lib.rs
@@ -38,3 +38,4 @@
 pub mod time;
 pub mod timer;
 pub mod token;
+pub mod value;
--- a/crates/gcl-core/src/store.rs
+++ b/crates/gcl-core/src/store.rs
@@ -15,6 +15,7 @@
     /// The key.
     pub key: CompactString,
     /// The value.
+    #[serde(with = "crate::value")]
     pub value: Bytes,
     /// The revision of its last change.
     pub revision: id::Revision,
@@ -70,6 +71,7 @@
         /// The revision of the key's last change.
         expected: id::Revision,
         /// The new value.
+        #[serde(with = "crate::value")]
         value: Bytes,
         /// The lease to hang it on, zero for none.
         lease: Lease,
@@ -85,6 +87,7 @@
         /// The revision of the key's last change, zero for absent.
         expected: id::Revision,
         /// The new value.
+        #[serde(with = "crate::value")]
         value: Bytes,
     },
     /// Removes a key if its last change is `expected`.
--- a/crates/gcl-core/tests/core/main.rs
+++ b/crates/gcl-core/tests/core/main.rs
@@ -17,3 +17,4 @@
 mod settings;
 mod statement;
 mod token;
+mod value;
--- /dev/null
+++ b/crates/gcl-core/tests/core/value.rs
@@ -0,0 +1,22 @@
+//! Tests of `gcl_core::value`.
+
+use gcl_core::store::Entry;
+use test_case::test_case;
+
+#[test_case(b"{\"a\": \"\xc3\xa9\"}", "\"{\\\"a\\\": \\\"\u{e9}\\\"}\""; "text stays text")]
+#[test_case(b"", "\"\""; "nothing")]
+#[test_case(b"\xff\x00", "[255,0]"; "other bytes are numbers")]
+fn survives_a_round_trip(value: &'static [u8], written: &str) {
+    let entry = Entry { key: "k".into(), value: value.into(), revision: 1, lease: 0 };
+    let text = serde_json::to_string(&entry).expect("entries are plain data");
+    assert!(text.contains(&format!("\"value\":{written}")), "{text}");
+    let back: Entry = serde_json::from_str(&text).expect("it was just written");
+    assert_eq!(back, entry);
+}
+
+#[test]
+fn text_as_numbers_is_read_too() {
+    let text = r#"{"key": "k", "value": [123, 125], "revision": 1, "lease": 0}"#;
+    let entry: Entry = serde_json::from_str(text).expect("the older form is read");
+    assert_eq!(entry.value, "{}");
+}
