fix(home): judge a replica's age when a read starts and when it ends

Cause: a replica read was judged when it arrived. Time in the queue and on a slow server added to the age of its data without being counted, so a reader could see data older than it agreed to. Two tests show it (a read queued for 6 s behind another, and an answer that took 6 s, both with a bound of 5 s): before, the first ran and the second was passed on; after, the first is sent elsewhere and the second is repeated.

--- a/crates/gcl-core/src/home/end.rs
+++ b/crates/gcl-core/src/home/end.rs
@@ -250,6 +250,7 @@
     let (access, database) = (task.run.access, task.run.database.clone());
     let aged = matches!(access, Access::Replica { .. });
     let ends = task.run.ends && task.transaction().is_some();
+    let outcome = if too_old(now, task) { outdated() } else { outcome };
     if aged || (mark.is_none() && (failed || ends)) {
         return finish(daemon, now, fx, request, outcome);
     }
@@ -269,6 +270,19 @@
     answer_if_proven(daemon, now, fx, request);
 }
 
+/// Whether a replica's answer took so long that its data may be older than the read accepts.
+fn too_old(now: Now, task: &Task) -> bool {
+    let Access::Replica { max_age, .. } = task.run.access else {
+        return false;
+    };
+    task.proven.is_none_or(|proven| now.since(proven) > max_age)
+}
+
+fn outdated() -> Outcome {
+    let detail = "the replica answered too late to prove the age of its data";
+    Outcome::Unknown(Fault::new(Code::OutcomeUnknown, detail))
+}
+
 fn answer_if_proven(daemon: &mut Daemon, now: Now, fx: &mut Effects, request: id::Request) {
     let Some(task) = daemon.home.tasks.get_mut(&request) else {
         return;
--- a/crates/gcl-core/src/home/mod.rs
+++ b/crates/gcl-core/src/home/mod.rs
@@ -16,7 +16,7 @@
 use crate::{
     code::{Code, Fault, Result},
     effect::Effects,
-    id,
+    group, id,
     run::{Outcome, Run},
     server::Event,
     state::State as Daemon,
@@ -71,6 +71,8 @@
     proof: Proof,
     held: bool,
     done: Option<Outcome>,
+    /// The moment whose acknowledged writes the replica had when the statement started.
+    proven: Option<Duration>,
 }
 
 /// The servers that this daemon is home of.
@@ -236,6 +238,9 @@
         let fault = Fault::new(Code::ServerLost, "the server accepts no connection now");
         handover::refuse_queued(daemon, now, fx, server, &fault.retry_after(wait));
     }
+    if !full {
+        group::on_trouble(daemon, now, fx, server);
+    }
 }
 
 /// Cancels a request of an entry.
--- a/crates/gcl-core/src/home/task.rs
+++ b/crates/gcl-core/src/home/task.rs
@@ -149,6 +149,7 @@
         proof: if early { Proof::Asked } else { Proof::Unasked },
         held: false,
         done: None,
+        proven: None,
         run,
     };
     daemon.home.tasks.insert(request, task);
@@ -282,7 +283,7 @@
         return;
     };
     let server = task.run.server.clone();
-    match write_term(daemon, now, task) {
+    match admit_start(daemon, now, task) {
         Ok(term) => run(daemon, now, fx, request, connection, (charged, term)),
         Err(fault) => {
             let (workspace, name) = (task.run.workspace.clone(), task.transaction());
@@ -301,6 +302,16 @@
     }
 }
 
+/// Checks once more what may have changed while the request waited; gives the term of a write.
+fn admit_start(daemon: &Daemon, now: Now, task: &Task) -> Result<Option<id::Term>> {
+    let alone = task.transaction().is_none();
+    if alone && !group::fresh(daemon, now, &task.run.server, task.run.access) {
+        let fault = Fault::new(Code::NoReplica, "the replica's data grew too old in the queue");
+        return Err(fault.retry_after(ELSEWHERE));
+    }
+    write_term(daemon, now, task)
+}
+
 /// The term that a write is to run at; a transaction keeps the term that it began at.
 fn write_term(daemon: &Daemon, now: Now, task: &Task) -> Result<Option<id::Term>> {
     if task.run.access != Access::Write {
@@ -324,10 +335,15 @@
     connection: id::Connection,
     (charged, term): (Duration, Option<id::Term>),
 ) {
+    let Some(task) = daemon.home.tasks.get(&request) else {
+        return;
+    };
+    let proven = group::proven(daemon, &task.run.server);
     let Some(task) = daemon.home.tasks.get_mut(&request) else {
         return;
     };
     task.stage = Stage::Running(connection);
+    task.proven = proven;
     task.term = term.or(task.term);
     let work = Work {
         request,
--- a/crates/gcl-core/src/request/retry.rs
+++ b/crates/gcl-core/src/request/retry.rs
@@ -4,7 +4,7 @@
 use crate::{
     code::{Code, Fault},
     effect::Effects,
-    id,
+    group, id,
     run::Outcome,
     state::State as Daemon,
     time::Now,
@@ -101,8 +101,9 @@
             attempt::start(daemon, now, fx, request);
         }
         Policy::Elsewhere => {
-            let server = pending.server.clone();
-            pending.avoided.push(server);
+            let (server, database) = (pending.server.clone(), pending.place.database.clone());
+            pending.avoided.push(server.clone());
+            group::avoid(daemon, now, &database, &server);
             wait(daemon, now, fx, request, Outcome::NotRun(fault));
         }
         Policy::Repeat | Policy::Costly => {
--- a/crates/gcl-core/tests/core/home/answer.rs
+++ b/crates/gcl-core/tests/core/home/answer.rs
@@ -276,3 +276,37 @@
     host.advance(100);
     assert_eq!(code(&host.take_answers()[0].outcome), None);
 }
+
+#[test]
+fn a_replica_read_that_grew_too_old_in_the_queue_is_not_run() {
+    let mut host = Host::new(1, 20);
+    host.open_all();
+    host.run(run(1, Scope::Single, AGED));
+    host.advance(20);
+    let connection = host.started(request_id(1)).expect("the first read takes the only slot");
+    host.run(run(2, Scope::Single, AGED));
+    host.advance(20);
+    host.silent = true;
+    host.advance(6_000);
+    host.end(connection, request_id(1), answered(Status::Idle, Some(Mark::new(3, 100))));
+    assert_eq!(host.started(request_id(2)), None, "its age can no longer be proven");
+    let answers = host.take_answers();
+    let second = answers.iter().find(|answer| answer.request == request_id(2));
+    let second = second.expect("the second read is answered");
+    assert_eq!(code(&second.outcome), Some(Code::NoReplica));
+}
+
+#[test]
+fn an_answer_of_a_replica_that_came_too_late_is_not_passed_on() {
+    let mut host = Host::new(2, 20);
+    host.open_all();
+    host.run(run(1, Scope::Single, AGED));
+    host.advance(20);
+    let connection = host.started(request_id(1)).expect("the read starts");
+    host.silent = true;
+    host.advance(6_000);
+    host.end(connection, request_id(1), answered(Status::Idle, Some(Mark::new(3, 100))));
+    let answers = host.take_answers();
+    let outcome = &answers.last().expect("the read is answered").outcome;
+    assert_eq!(code(outcome), Some(Code::OutcomeUnknown), "its data may be older than 5 s");
+}
