--- a/crates/gcl-daemon/tests/e2e/fleet.rs
+++ b/crates/gcl-daemon/tests/e2e/fleet.rs
@@ -49,6 +49,16 @@
         }
     }
 
+    /// Waits until it is ready for callers.
+    pub fn wait_ready(&self) {
+        self.wait("readiness", |line| line["ready"] == json!(true));
+    }
+
+    /// All lines of the log so far.
+    pub fn log(&self) -> Vec<String> {
+        self.log.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
     /// The last lines of the log.
     fn tail(&self) -> Vec<String> {
         let log = self.log.lock().unwrap_or_else(PoisonError::into_inner);
@@ -133,22 +143,33 @@
 
     /// Waits until every daemon is ready.
     pub fn ready(&self) {
-        for daemon in &self.daemons {
-            daemon.wait("readiness", |line| line["ready"] == json!(true));
-        }
+        self.daemons.iter().for_each(Daemon::wait_ready);
     }
 
     /// A caller's connection to a daemon.
     pub async fn connect(&self, daemon: usize) -> Client {
+        self.try_connect(daemon).await.expect("the caller is let in")
+    }
+
+    /// A caller's connection to a daemon, or its refusal.
+    pub async fn try_connect(&self, daemon: usize) -> Result<Client, tokio_postgres::Error> {
+        self.connect_with(daemon, &format!("k1.{SECRET}")).await
+    }
+
+    /// A caller's connection with a key of its own.
+    pub async fn connect_with(
+        &self,
+        daemon: usize,
+        key: &str,
+    ) -> Result<Client, tokio_postgres::Error> {
         let address = &self.daemons[daemon].caller;
         let (host, port) = address.split_once(':').expect("the address has a port");
         let text = format!(
-            "host={host} port={port} user=altyn password=k1.{SECRET} dbname=orders-db sslmode=disable"
+            "host={host} port={port} user=altyn password={key} dbname=orders-db sslmode=disable"
         );
-        let (client, connection) =
-            tokio_postgres::connect(&text, NoTls).await.expect("the caller is let in");
+        let (client, connection) = tokio_postgres::connect(&text, NoTls).await?;
         tokio::spawn(connection);
-        client
+        Ok(client)
     }
 }
 
--- a/crates/gcl-daemon/tests/e2e/main.rs
+++ b/crates/gcl-daemon/tests/e2e/main.rs
@@ -2,4 +2,5 @@
 
 mod bookings;
 mod fleet;
+mod operations;
 mod path;
