--- a/crates/gcl-core/examples/capacity/driver.rs
+++ b/crates/gcl-core/examples/capacity/driver.rs
@@ -6,9 +6,12 @@
     config::{self, Tell},
     effect::Effect,
     event::Event,
+    key,
     mark::Mark,
     member::{Message, Rumor},
-    peer, reduce,
+    peer,
+    record::chain::Head,
+    reduce,
     server::{self, Ended, Report, Role},
     state::State,
     store::{self, Op, Reply},
@@ -154,6 +157,10 @@
                 add(&mut self.tally.sent, &message);
                 self.on_peer(&to, message);
             }
+            Effect::ReadHead => {
+                let daemon = self.state.settings.daemon.clone();
+                self.answer(Event::Head(head(&daemon)));
+            }
             Effect::Store(call) => self.on_store(&call),
             Effect::Server(name, call) => self.on_server(&name, &call),
             Effect::Caller(_, gcl_core::caller::Effect::Send(replies)) => {
@@ -237,6 +244,16 @@
     }
 }
 
+/// The head of a daemon's chain.
+pub fn head(daemon: &str) -> Head {
+    Head {
+        daemon: daemon.into(),
+        incarnation: 1,
+        sequence: 1_000_000,
+        hash: key::hash(daemon).into(),
+    }
+}
+
 fn received(from: &str, message: peer::Message) -> Event {
     Event::Peer(peer::Event::Received { from: from.into(), incarnation: 1, message })
 }
--- a/crates/gcl-core/examples/capacity/main.rs
+++ b/crates/gcl-core/examples/capacity/main.rs
@@ -16,4 +16,5 @@
     slopes::configuration();
     slopes::requests();
     slopes::limits();
+    slopes::spread();
 }
--- a/crates/gcl-core/examples/capacity/slopes.rs
+++ b/crates/gcl-core/examples/capacity/slopes.rs
@@ -1,7 +1,7 @@
 //! The slopes: each is measured alone, at several sizes.
 
 use crate::{
-    driver::{Driver, Tally},
+    driver::{Driver, Tally, head},
     fleet,
 };
 use gcl_core::{
@@ -9,7 +9,9 @@
     config::{Message, document::Document},
     event::Event,
     member::{self, Rumor},
-    peer, store,
+    peer,
+    record::anchor,
+    store,
 };
 use std::{hint::black_box, time::Duration};
 
@@ -293,3 +295,35 @@
         );
     }
 }
+
+/// The cost of a relay by its children, and of gathering the heads of a failure domain.
+pub fn spread() {
+    println!("\n(f) a relay that keeps the anchors of 413 daemons: 1 run of 60 s simulated");
+    println!("children | sent B/s | received B/s | us/s | writes/s | reads/s");
+    for children in [0, 8, 16] {
+        let mut driver = local(1, 3_299);
+        driver.tally = Tally::default();
+        for round in 0..75 {
+            for child in 0..children {
+                let name = format!("c{child}");
+                let ask = Message::Ask { number: round, revision: fleet::REVISION, whole: true };
+                driver.receive(&name, peer::Message::Config(ask));
+            }
+            for part in 0..6 {
+                let name = format!("c{}", (round * 6 + part) % 413);
+                let message = anchor::Message::Head(head(&name));
+                driver.receive(&name, peer::Message::Anchor(message));
+            }
+            driver.run(SPAN / 75);
+        }
+        let tally = &driver.tally;
+        println!(
+            "{children} | {:.0} | {:.0} | {:.0} | {:.3} | {:.3}",
+            rate(tally.sent.1),
+            rate(tally.received.1),
+            micros(tally.busy) / SPAN.as_secs_f64(),
+            rate(tally.store.0),
+            rate(tally.store.1)
+        );
+    }
+}
