--- a/crates/gcl-cli/src/arguments.rs
+++ b/crates/gcl-cli/src/arguments.rs
@@ -23,6 +23,8 @@
     history                     list changes that the daemon remembers
     key issue                   make a key of a workspace and print it once
     key withdraw                withdraw selected keys
+    primary move                move the primaries of selected databases to one of
+                                the servers that --to selects
     status                      show the daemon, its members and the homes of servers
     wait                        wait until a revision is in force everywhere
 
@@ -40,6 +42,7 @@
     Delete(String),
     History,
     Issue,
+    Move,
     Withdraw,
     Status,
     Wait,
@@ -60,6 +63,7 @@
     pub labels: Vec<String>,
     pub revision: Option<String>,
     pub timeout_ms: Option<String>,
+    pub to: String,
 }
 
 /// What the command line asks for.
@@ -86,6 +90,7 @@
     options.optopt("", "name", "the public half of a new key, by default at random", "NAME");
     options.optmulti("", "label", "a label of a new key", "NAME=VALUE");
     options.optopt("", "revision", "the revision to wait for", "N");
+    options.optopt("", "to", "with primary move, selects the servers to move to", "SELECTOR");
     options.optopt("", "timeout-ms", "longest wait in milliseconds", "N");
     options
 }
@@ -115,6 +120,7 @@
         labels: matches.opt_strs("label"),
         revision: matches.opt_str("revision"),
         timeout_ms: matches.opt_str("timeout-ms"),
+        to: matches.opt_str("to").unwrap_or_default(),
     })))
 }
 
@@ -134,6 +140,7 @@
         ["history"] => Command::History,
         ["key", "issue"] => Command::Issue,
         ["key", "withdraw"] => Command::Withdraw,
+        ["primary", "move"] => Command::Move,
         ["status"] => Command::Status,
         ["wait"] => Command::Wait,
         [] => return Err(usage("no command")),
--- a/crates/gcl-cli/src/command.rs
+++ b/crates/gcl-cli/src/command.rs
@@ -16,8 +16,8 @@
     key,
     operation::{
         api::{
-            Apply, Delete, Done, History, Issue, Item, Label, Listing, Overview, Report, Status,
-            Wait,
+            Apply, Delete, Done, History, Issue, Item, Label, Listing, Move, Moves, Overview,
+            Report, Status, Wait,
         },
         plan::{MAX_OBJECTS, order},
     },
@@ -36,6 +36,7 @@
         Command::Delete(kind) => delete(arguments, &client, "delete", kind).await,
         Command::Withdraw => delete(arguments, &client, "key/withdraw", "key").await,
         Command::Issue => issue(arguments, &client).await,
+        Command::Move => move_primaries(arguments, &client).await,
         Command::History => {
             let history: History = client.get("history", &[]).await?;
             show(arguments, &history, table::history);
@@ -132,6 +133,17 @@
     texts.map(pair).collect()
 }
 
+async fn move_primaries(arguments: &Arguments, client: &Client) -> Result<()> {
+    let body =
+        Move { database: arguments.selector.as_str().into(), to: arguments.to.as_str().into() };
+    let moves: Moves = client.post("primary/move", &body).await?;
+    show(arguments, &moves, table::moves);
+    if moves.moves.iter().any(|moved| moved.refusal.is_some()) {
+        return Err(Failure::Incomplete);
+    }
+    Ok(())
+}
+
 async fn delete(arguments: &Arguments, client: &Client, path: &str, kind: &str) -> Result<()> {
     let body = Delete {
         change: change(arguments)?,
--- a/crates/gcl-cli/src/table.rs
+++ b/crates/gcl-cli/src/table.rs
@@ -2,7 +2,7 @@
 
 use gcl_core::{
     config::snapshot::{Versioned, identity, labels},
-    operation::api::{Done, History, Listing, Overview, Report, Status, Wait},
+    operation::api::{Done, History, Listing, Moves, Overview, Report, Status, Wait},
 };
 use std::fmt::Write as _;
 
@@ -173,3 +173,14 @@
     }
     table.text()
 }
+
+/// The moves of primaries that were started or refused.
+pub fn moves(moves: &Moves) -> String {
+    let mut table = Table::new(&["DATABASE", "TO", "REFUSED"]);
+    for moved in &moves.moves {
+        let to = moved.to.as_ref().map(ToString::to_string).unwrap_or_default();
+        let refusal = moved.refusal.as_ref().map(ToString::to_string).unwrap_or_default();
+        table.row(vec![moved.database.to_string(), to, refusal]);
+    }
+    table.text()
+}
--- a/crates/gcl-core/src/operation/api.rs
+++ b/crates/gcl-core/src/operation/api.rs
@@ -1,6 +1,7 @@
 //! The documents that operators send and get, shared with the command-line tool.
 
 use crate::{
+    code::Fault,
     config::{
         object::{Key, Labels, Object},
         snapshot::Versioned,
@@ -246,3 +247,31 @@
     /// Where it is not.
     pub behind: Vec<Behind>,
 }
+
+/// Body of `POST primary/move`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Move {
+    /// Selects the databases.
+    pub database: CompactString,
+    /// Selects the servers of which one is to be primary.
+    pub to: CompactString,
+}
+
+/// The answer to `POST primary/move`.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Moves {
+    /// The moves, by database.
+    pub moves: Vec<Switch>,
+}
+
+/// A move that was started or refused.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Switch {
+    /// The database.
+    pub database: id::Database,
+    /// The server that is to be its primary.
+    pub to: Option<id::Server>,
+    /// Why nothing was started.
+    pub refusal: Option<Fault>,
+}
--- a/crates/gcl-core/src/operation/mod.rs
+++ b/crates/gcl-core/src/operation/mod.rs
@@ -3,6 +3,7 @@
 pub mod access;
 pub mod api;
 pub mod plan;
+mod primary;
 mod view;
 mod wait;
 mod work;
@@ -93,6 +94,9 @@
 ) -> Result<Option<String>> {
     // Refuses strangers before their body is read.
     access::admit(daemon, &request.token, READERS)?;
+    if request.path == "primary/move" {
+        return primary::start(daemon, now, fx, request).map(|moves| Some(json(&moves)));
+    }
     let snapshot = &daemon.config.snapshot;
     let body = &request.body;
     let plan = match request.path.as_str() {
--- a/crates/gcl-core/tests/core/operation.rs
+++ b/crates/gcl-core/tests/core/operation.rs
@@ -323,3 +323,41 @@
     });
     assert!(refused, "{effects:?}");
 }
+
+/// Asks a daemon alone, without a store.
+fn move_primary(state: &mut gcl_core::state::State, body: &str) -> Response {
+    let request = Request {
+        method: Method::Post,
+        path: "primary/move".into(),
+        query: Vec::new(),
+        token: "".into(),
+        body: body.to_owned(),
+    };
+    let mut fx = gcl_core::effect::Effects::default();
+    let now = crate::fixture::at(1_000);
+    gcl_core::operation::on_request(state, now, &mut fx, 1, &request);
+    let answer = fx.as_slice().iter().find_map(|effect| match effect {
+        gcl_core::effect::Effect::Operator(1, response) => Some(response.clone()),
+        _ => None,
+    });
+    answer.expect("the operator is answered")
+}
+
+#[test]
+fn primaries_move_to_servers_chosen_by_labels() {
+    let mut state = crate::fixture::configured("d1");
+    let leader = gcl_core::run::Leader { term: 1, server: "orders-1-a".into() };
+    gcl_core::group::on_leader(&mut state, &"orders-1".into(), leader);
+    let Response::Json(text) = move_primary(&mut state, r#"{"database": "", "to": "!gone"}"#)
+    else {
+        panic!("the move is refused");
+    };
+    let moves: gcl_core::operation::api::Moves = serde_json::from_str(&text).expect("the answer");
+    let found: Vec<_> = moves.moves.iter().map(|moved| moved.to.as_deref()).collect();
+    assert_eq!(found, [Some("orders-1-a")], "a primary that is among the selected stays");
+    let none = move_primary(&mut state, r#"{"database": "", "to": "rack=none"}"#);
+    let Response::Json(text) = none else { panic!("{none:?}") };
+    let moves: gcl_core::operation::api::Moves = serde_json::from_str(&text).expect("the answer");
+    let refusal = moves.moves[0].refusal.as_ref().expect("no server is selected");
+    assert_eq!(refusal.code, Code::NotFound);
+}
