feat(daemon): hear only daemons of the fleet's authority; test it

Cause: the peer port asked for no client certificate when the settings gave no authority, so a stranger could have sent requests. An authority is now required. The start of a daemon is split into short steps.

--- a/crates/gcl-daemon/src/daemon.rs
+++ b/crates/gcl-daemon/src/daemon.rs
@@ -7,7 +7,11 @@
 };
 use actix::{Actor, Arbiter};
 use compact_str::format_compact;
-use gcl_core::{settings::Settings, state::State};
+use gcl_backend::client::Client as Backend;
+use gcl_core::{
+    caller::Event as CallerEvent, id, operator::Request, peer::Event as PeerEvent, record::chain,
+    server, settings::Settings, state::State, store, timer::Key,
+};
 use metrics_exporter_prometheus::PrometheusHandle;
 use serde::Serialize;
 use std::{net::SocketAddr, sync::Arc};
@@ -71,14 +75,19 @@
     }
 }
 
-/// Starts a daemon within an actix system.
-///
-/// # Errors
-/// A port cannot be opened, a certificate not read, or the trace not written.
-pub async fn start(options: Options) -> eyre::Result<Outcome> {
-    let Options { mut settings, seed, trace, metrics } = options;
-    let origin = Instant::now();
+/// Where the ports send what happens.
+struct Senders {
+    callers: UnboundedSender<(id::Session, CallerEvent)>,
+    peers: UnboundedSender<PeerEvent>,
+    store: UnboundedSender<store::Event>,
+    backend: UnboundedSender<(id::Server, server::Event)>,
+    timers: UnboundedSender<Key>,
+    operators: UnboundedSender<(id::Operation, Request)>,
+    heads: UnboundedSender<chain::Head>,
+    stop: UnboundedSender<()>,
+}
 
+fn channels() -> (Senders, Sources) {
     let (caller_events, callers) = unbounded_channel();
     let (peer_events, peers) = unbounded_channel();
     let (store_events, store) = unbounded_channel();
@@ -86,15 +95,34 @@
     let (timer_events, timers) = unbounded_channel();
     let (operator_events, operators) = unbounded_channel();
     let (head_events, heads) = unbounded_channel();
-    let (stop, stops) = unbounded_channel();
-    let (exit, exited) = watch::channel(false);
+    let (stop_events, stop) = unbounded_channel();
+    let senders = Senders {
+        callers: caller_events,
+        peers: peer_events,
+        store: store_events,
+        backend: server_events,
+        timers: timer_events,
+        operators: operator_events,
+        heads: head_events,
+        stop: stop_events,
+    };
+    (senders, Sources { callers, peers, store, backend, timers, operators, heads, stop })
+}
 
+/// Starts a daemon within an actix system.
+///
+/// # Errors
+/// A port cannot be opened, a certificate not read, or the trace not written.
+pub async fn start(options: Options) -> eyre::Result<Outcome> {
+    let Options { mut settings, seed, trace, metrics } = options;
+    let origin = Instant::now();
+    let (senders, sources) = channels();
     let keys = settings.peer_tls.as_ref().map(peer::Keys::read).transpose()?;
     let peer = peer::start(peer::Options {
         address: settings.listen.peer,
         keys: keys.clone(),
         answer_bytes: settings.bounds.answer_bytes,
-        events: peer_events.clone(),
+        events: senders.peers.clone(),
     })
     .await?;
     if settings.listen.peer.port() == 0 {
@@ -104,40 +132,57 @@
     let trace = trace
         .map(|path| trace::Writer::start(&path, &Head { settings: &settings, seed }))
         .transpose()?;
-    let (operator_handle, operator) = operator::start(operator::Options {
+    let (operators, operator) = open_operators(&settings, metrics, senders.operators)?;
+    let callers = open_callers(&settings, senders.callers)?;
+    let caller = callers.address();
+    let (exit, exited) = watch::channel(false);
+    let (name, life) = (settings.daemon.clone(), state.incarnation);
+    let ports = Ports {
+        callers,
+        peers: peer::Handle::new(name.clone(), life, keys, senders.peers),
+        store: gcl_store::client::Client::new(&settings.store, senders.store)?,
+        backend: Backend::new(backend_options(&settings), senders.backend),
+        timers: timer::start(origin, senders.timers),
+        operators,
+        record: record::Writer::start(name, life, senders.heads)?,
+        trace,
+        exit,
+    };
+    let arbiter = Arbiter::new();
+    Reducer::start_in_arbiter(&arbiter.handle(), move |_context| {
+        Reducer::new(state, origin, ports, sources)
+    });
+    Ok(Outcome { caller, peer, operator, stop: senders.stop, exit: exited, arbiter })
+}
+
+fn open_operators(
+    settings: &Settings,
+    metrics: Option<PrometheusHandle>,
+    events: UnboundedSender<(id::Operation, Request)>,
+) -> eyre::Result<(operator::Handle, SocketAddr)> {
+    operator::start(operator::Options {
         address: settings.listen.operator,
         tls: settings.operator_tls.as_ref().map(tls::server).transpose()?,
         metrics,
-        events: operator_events,
-    })?;
+        events,
+    })
+}
+
+fn open_callers(
+    settings: &Settings,
+    events: UnboundedSender<(id::Session, CallerEvent)>,
+) -> eyre::Result<caller::Listener> {
     let listener = caller::Listener::start(caller::Options {
         address: settings.listen.caller,
         bounds: settings.bounds.clone(),
         tls: settings.caller_tls.as_ref().map(tls::server).transpose()?.map(Arc::new),
         encryption_required: settings.caller_tls.is_some(),
-        events: caller_events,
+        events,
     })?;
-    let caller = listener.address();
+    Ok(listener)
+}
 
-    let servers = gcl_backend::client::Options {
-        answer_bytes: settings.bounds.answer_bytes,
-        ..gcl_backend::client::Options::default()
-    };
-    let ports = Ports {
-        callers: listener,
-        peers: peer::Handle::new(settings.daemon.clone(), state.incarnation, keys, peer_events),
-        store: gcl_store::client::Client::new(&settings.store, store_events)?,
-        backend: gcl_backend::client::Client::new(servers, server_events),
-        timers: timer::start(origin, timer_events),
-        operators: operator_handle,
-        record: record::Writer::start(settings.daemon.clone(), state.incarnation, head_events)?,
-        trace,
-        exit,
-    };
-    let sources = Sources { callers, peers, store, backend, timers, operators, heads, stop: stops };
-    let arbiter = Arbiter::new();
-    Reducer::start_in_arbiter(&arbiter.handle(), move |_context| {
-        Reducer::new(state, origin, ports, sources)
-    });
-    Ok(Outcome { caller, peer, operator, stop, exit: exited, arbiter })
+fn backend_options(settings: &Settings) -> gcl_backend::client::Options {
+    let answer_bytes = settings.bounds.answer_bytes;
+    gcl_backend::client::Options { answer_bytes, ..gcl_backend::client::Options::default() }
 }
--- a/crates/gcl-daemon/src/peer.rs
+++ b/crates/gcl-daemon/src/peer.rs
@@ -30,17 +30,18 @@
 #[derive(Clone, Debug)]
 pub struct Keys {
     identity: Identity,
-    authority: Option<Certificate>,
+    authority: Certificate,
 }
 
 impl Keys {
-    /// Reads the files.
+    /// Reads the files; both sides of a stream must show a certificate of the authority.
     ///
     /// # Errors
-    /// The error of the file that could not be read.
+    /// The error of the file that could not be read, or a missing authority.
     pub fn read(tls: &Tls) -> io::Result<Self> {
         let identity = Identity::from_pem(fs::read(&tls.certificate)?, fs::read(&tls.key)?);
-        let authority = tls.authority.as_ref().map(fs::read).transpose()?;
-        Ok(Self { identity, authority: authority.map(Certificate::from_pem) })
+        let none = || io::Error::other("the peer port needs the fleet's authority");
+        let authority = fs::read(tls.authority.as_ref().ok_or_else(none)?)?;
+        Ok(Self { identity, authority: Certificate::from_pem(authority) })
     }
 }
--- a/crates/gcl-daemon/src/peer/dial.rs
+++ b/crates/gcl-daemon/src/peer/dial.rs
@@ -133,11 +133,10 @@
             .initial_stream_window_size(WINDOW)
             .initial_connection_window_size(WINDOW);
         if let Some(keys) = &self.keys {
-            let mut tls = ClientTlsConfig::new().domain_name(SERVER_NAME);
-            tls = tls.identity(keys.identity.clone());
-            if let Some(authority) = &keys.authority {
-                tls = tls.ca_certificate(authority.clone());
-            }
+            let tls = ClientTlsConfig::new()
+                .domain_name(SERVER_NAME)
+                .identity(keys.identity.clone())
+                .ca_certificate(keys.authority.clone());
             endpoint = endpoint.tls_config(tls)?;
         }
         Ok(endpoint.connect().await?)
--- a/crates/gcl-daemon/src/peer/listen.rs
+++ b/crates/gcl-daemon/src/peer/listen.rs
@@ -66,10 +66,7 @@
         .initial_stream_window_size(WINDOW)
         .initial_connection_window_size(WINDOW);
     if let Some(keys) = options.keys {
-        let mut tls = ServerTlsConfig::new().identity(keys.identity);
-        if let Some(authority) = keys.authority {
-            tls = tls.client_ca_root(authority);
-        }
+        let tls = ServerTlsConfig::new().identity(keys.identity).client_ca_root(keys.authority);
         server = server.tls_config(tls)?;
     }
     let incoming = TcpListenerStream::new(listener);
--- a/crates/gcl-daemon/tests/daemon/main.rs
+++ b/crates/gcl-daemon/tests/daemon/main.rs
@@ -2,3 +2,4 @@
 
 mod caller;
 mod echo;
+mod peer;
--- /dev/null
+++ b/crates/gcl-standin/src/bench/mod.rs
@@ -0,0 +1,69 @@
+//! The `bench` command: measurements on whole deployments in this process.
+
+mod gap;
+mod path;
+
+use crate::deployment::Caller;
+use eyre::{Result, bail};
+use gcl_core::config::object::Object;
+use getopts::Options as Flags;
+
+/// Connections that each server takes, so that direct callers find room.
+const CONNECTIONS: u32 = 300;
+/// Statements that each server runs at once.
+const SLOTS: u32 = 16;
+/// Rate and burst of the workspace, in requests, so that no request is refused for it.
+const RATE: u32 = 4_000_000;
+/// How the command is called.
+const USAGE: &str = "Usage: goldcrest-standin bench [options] path|gap
+
+path  latency and throughput through no, one and two daemons
+gap   time without acknowledged writes while the primary changes";
+
+/// Runs the command with the arguments after its name.
+///
+/// # Errors
+/// Bad arguments, or a measurement that fails.
+pub fn run(arguments: &[String]) -> Result<()> {
+    let mut flags = Flags::new();
+    flags.optopt("", "requests", "path: requests of each row, 4000 by default", "N");
+    flags.optopt("", "runs", "gap: runs of each row, 10 by default", "N");
+    flags.optflag("h", "help", "print this help");
+    let matches = flags.parse(arguments)?;
+    if matches.opt_present("help") {
+        print!("{}", flags.usage(USAGE));
+        return Ok(());
+    }
+    let system = actix_rt::System::with_tokio_rt(gcl_daemon::log::runtime);
+    match matches.free.first().map(String::as_str) {
+        Some("path") => system.block_on(path::measure(matches.opt_get_default("requests", 4_000)?)),
+        Some("gap") => system.block_on(gap::measure(matches.opt_get_default("runs", 10)?)),
+        _ => bail!("{USAGE}"),
+    }
+}
+
+/// The caller of the measurements.
+fn caller() -> Caller {
+    Caller::example("bench", "bench-db")
+}
+
+/// One database of three servers in two failure domains.
+fn objects() -> Vec<Object> {
+    let mut objects = vec![
+        serde_json::json!({"kind": "domain", "name": "a", "region": "here"}),
+        serde_json::json!({"kind": "domain", "name": "b", "region": "here"}),
+        serde_json::json!({"kind": "service", "name": "bench-db"}),
+        serde_json::json!({"kind": "database", "name": "bench-1", "service": "bench-db"}),
+        serde_json::json!({"kind": "workspace", "name": "bench", "rate": RATE, "burst": RATE}),
+        serde_json::json!({"kind": "key", "name": "bench-1", "workspace": "bench",
+            "hash": gcl_core::key::hash("demo-bench")}),
+        serde_json::json!({"kind": "rule", "name": "all", "service": "bench-db"}),
+    ];
+    for domain in ["a", "b", "b"] {
+        let name = format!("bench-1-{}-{domain}", objects.len());
+        objects.push(serde_json::json!({"kind": "server", "name": name, "database": "bench-1",
+            "domain": domain, "address": "127.0.0.1:1", "slots": SLOTS,
+            "connections": CONNECTIONS, "labels": {"name": name}}));
+    }
+    objects.into_iter().filter_map(|object| serde_json::from_value(object).ok()).collect()
+}
--- a/crates/gcl-standin/src/bench.rs
+++ b/crates/gcl-standin/src/bench/path.rs
@@ -1,6 +1,6 @@
-//! The `bench` command: the cost of the path, as ratios within one run.
+//! The cost of the path, as ratios within one run.
 //!
-//! The same reads and writes go to a stand-in server directly, through one daemon that is entry
+//! The same reads go to a stand-in server directly, through one daemon that is entry
 //! and home, and through two daemons, entry and home. Daemons and stand-ins share this process.
 
 use crate::{
@@ -9,8 +9,6 @@
 };
 use eyre::{Result, WrapErr, eyre};
 use futures::future::try_join_all;
-use gcl_core::config::object::Object;
-use getopts::Options as Flags;
 use hdrhistogram::Histogram;
 use std::{
     net::SocketAddr,
@@ -22,12 +20,6 @@
 const CALLERS: [usize; 3] = [1, 32, 256];
 /// Requests of each row that are not counted.
 const WARM_UP: usize = 50;
-/// Connections that each server takes, so that direct callers find room.
-const CONNECTIONS: u32 = 300;
-/// Statements that each server runs at once.
-const SLOTS: u32 = 16;
-/// Rate and burst of the workspace, in requests, so that no request is refused for it.
-const RATE: u32 = 4_000_000;
 
 /// The way that requests take.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -46,27 +38,13 @@
     per_second: f64,
 }
 
-/// Runs the command with the arguments after its name.
+/// Measures and prints the table.
 ///
 /// # Errors
-/// Bad arguments, or a request that fails.
-pub fn run(arguments: &[String]) -> Result<()> {
-    let mut flags = Flags::new();
-    flags.optopt("", "requests", "requests of each row, 4000 by default", "N");
-    flags.optflag("h", "help", "print this help");
-    let matches = flags.parse(arguments)?;
-    if matches.opt_present("help") {
-        print!("{}", flags.usage("Usage: goldcrest-standin bench [options]"));
-        return Ok(());
-    }
-    let requests = matches.opt_get_default("requests", 4_000)?;
-    let system = actix_rt::System::with_tokio_rt(gcl_daemon::log::runtime);
-    system.block_on(measure(requests))
-}
-
-async fn measure(requests: usize) -> Result<()> {
-    let caller = Caller::example("bench", "bench-db");
-    let options = Options { objects: objects(), daemons_per_domain: 1, delays: false };
+/// A request that fails.
+pub async fn measure(requests: usize) -> Result<()> {
+    let caller = super::caller();
+    let options = Options { objects: super::objects(), daemons_per_domain: 1, delays: false };
     let deployment = deployment::start(options).await?;
     let create = "create table item (id int primary key, what text)";
     let client = deployment.ready(0, &caller, create).await?;
@@ -155,23 +133,3 @@
         );
     }
 }
-
-fn objects() -> Vec<Object> {
-    let mut objects = vec![
-        serde_json::json!({"kind": "domain", "name": "a", "region": "here"}),
-        serde_json::json!({"kind": "domain", "name": "b", "region": "here"}),
-        serde_json::json!({"kind": "service", "name": "bench-db"}),
-        serde_json::json!({"kind": "database", "name": "bench-1", "service": "bench-db"}),
-        serde_json::json!({"kind": "workspace", "name": "bench", "rate": RATE, "burst": RATE}),
-        serde_json::json!({"kind": "key", "name": "bench-1", "workspace": "bench",
-            "hash": gcl_core::key::hash("demo-bench")}),
-        serde_json::json!({"kind": "rule", "name": "all", "service": "bench-db"}),
-    ];
-    for domain in ["a", "b", "b"] {
-        let name = format!("bench-1-{}-{domain}", objects.len());
-        objects.push(serde_json::json!({"kind": "server", "name": name, "database": "bench-1",
-            "domain": domain, "address": "127.0.0.1:1", "slots": SLOTS,
-            "connections": CONNECTIONS}));
-    }
-    objects.into_iter().filter_map(|object| serde_json::from_value(object).ok()).collect()
-}
