--- a/crates/gcl-core/src/config/file.rs
+++ b/crates/gcl-core/src/config/file.rs
@@ -5,65 +5,30 @@
     snapshot::{Snapshot, key_of},
     validate,
 };
-use crate::{id, operation::api::Item};
+use crate::{id, jsonc::strict, operation::api::Item};
 use compact_str::{CompactString, format_compact};
 use indexmap::IndexMap;
 use jsonc_parser::{
-    CollectOptions, ParseOptions,
+    CollectOptions,
     ast::{self, ObjectProp, Value},
     common::Ranged,
     parse_to_ast, parse_to_serde_value,
 };
-use std::fmt;
 
-/// A fault in a file.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Fault {
-    /// The line, counted from one.
-    pub line: usize,
-    /// The column, counted in characters from one.
-    pub column: usize,
-    /// What is wrong.
-    pub detail: CompactString,
-}
-
-impl fmt::Display for Fault {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}:{}: {}", self.line, self.column, self.detail)
-    }
-}
-
-impl std::error::Error for Fault {}
+pub use crate::jsonc::Fault;
 
 /// The outcome of reading a file: what it holds, or every fault found.
 pub type Result<T> = std::result::Result<T, Vec<Fault>>;
 
-/// JSON with comments and trailing commas, and no other leniency.
-const fn options() -> ParseOptions {
-    ParseOptions {
-        allow_comments: true,
-        allow_trailing_commas: true,
-        allow_loose_object_property_names: false,
-        allow_missing_commas: false,
-        allow_single_quoted_strings: false,
-        allow_hexadecimal_numbers: false,
-        allow_unary_plus_numbers: false,
-        allow_bare_decimal_point_numbers: false,
-        allow_non_finite_numbers: false,
-        allow_extended_string_escapes: false,
-    }
-}
-
 /// Reads a list of objects; each stands bare, or as `{"revision": N, "object": {..}}` as listed.
 ///
 /// # Errors
 /// Every fault of form, value or repetition, in the order of the file.
 pub fn read(text: &str) -> Result<Vec<Item>> {
-    let parsed = parse_to_ast(text, &CollectOptions::default(), &options()).map_err(|error| {
-        vec![at(text, error.range().start, format_compact!("{}", error.kind()))]
-    })?;
+    let parsed = parse_to_ast(text, &CollectOptions::default(), &strict())
+        .map_err(|error| vec![Fault::syntax(text, &error)])?;
     let Some(Value::Array(list)) = parsed.value else {
-        return Err(vec![at(text, 0, "expected a list of objects".into())]);
+        return Err(vec![Fault::at(text, 0, "expected a list of objects".into())]);
     };
     let mut reader = Reader { text, seen: IndexMap::new(), faults: Vec::new() };
     let items: Vec<Item> =
@@ -90,14 +55,14 @@
     let mut starts = positions(text);
     let faults = problems.into_iter().map(|problem| {
         let start = starts.get_mut(&problem.key).map_or(0, |start| *start);
-        at(text, start, format_compact!("{}: {}", problem.key, problem.fault.detail))
+        Fault::at(text, start, format_compact!("{}: {}", problem.key, problem.fault.detail))
     });
     Err(faults.collect())
 }
 
 /// Where each object of a well-formed file starts, by store key.
 fn positions(text: &str) -> IndexMap<CompactString, usize> {
-    let parsed = parse_to_ast(text, &CollectOptions::default(), &options()).ok();
+    let parsed = parse_to_ast(text, &CollectOptions::default(), &strict()).ok();
     let list = parsed.and_then(|parsed| parsed.value);
     let mut reader = Reader { text, seen: IndexMap::new(), faults: Vec::new() };
     if let Some(Value::Array(list)) = &list {
@@ -164,7 +129,7 @@
     }
 
     fn fault(&mut self, start: usize, detail: CompactString) {
-        self.faults.push(at(self.text, start, detail));
+        self.faults.push(Fault::at(self.text, start, detail));
     }
 }
 
@@ -175,7 +140,7 @@
     without: Option<&str>,
 ) -> std::result::Result<Object, CompactString> {
     let source = &text[fields.range.start..fields.range.end];
-    let mut value: serde_json::Value = parse_to_serde_value(source, &options())
+    let mut value: serde_json::Value = parse_to_serde_value(source, &strict())
         .map_err(|error| format_compact!("{}", error.kind()))?;
     if let (Some(name), Some(map)) = (without, value.as_object_mut()) {
         map.remove(name);
@@ -198,10 +163,3 @@
     });
     found.map(|field| field.range.start)
 }
-
-fn at(text: &str, position: usize, detail: CompactString) -> Fault {
-    let before = text.get(..position).unwrap_or(text);
-    let line = before.matches('\n').count() + 1;
-    let start = before.rfind('\n').map_or(0, |end| end + 1);
-    Fault { line, column: before[start..].chars().count() + 1, detail }
-}
--- a/crates/gcl-core/src/lib.rs
+++ b/crates/gcl-core/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod group;
 pub mod home;
 pub mod id;
+pub mod jsonc;
 pub mod key;
 pub mod limit;
 pub mod mark;
--- a/crates/gcl-core/src/settings/parse.rs
+++ b/crates/gcl-core/src/settings/parse.rs
@@ -4,14 +4,15 @@
     Settings, check,
     schema::{Field, SETTINGS, Shape},
 };
+use crate::jsonc::strict;
 use indexmap::IndexMap;
 use jsonc_parser::{
-    CollectOptions, ParseOptions,
+    CollectOptions,
     ast::{Object, Value},
     common::Ranged as _,
     parse_to_ast, parse_to_serde_value,
 };
-use std::{fmt, net::SocketAddr};
+use std::net::SocketAddr;
 
 /// Most bytes of a name.
 const NAME_BYTES: usize = 63;
@@ -19,21 +20,7 @@
 const SCHEME: &str = "http://";
 
 /// A fault of the settings.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Problem {
-    /// The line, counted from one.
-    pub line: usize,
-    /// The column in characters, counted from one.
-    pub column: usize,
-    /// What is wrong.
-    pub what: String,
-}
-
-impl fmt::Display for Problem {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}:{}: {}", self.line, self.column, self.what)
-    }
-}
+pub use crate::jsonc::Fault as Problem;
 
 /// The settings, or every fault that was found.
 pub type Result<T> = std::result::Result<T, Vec<Problem>>;
@@ -43,17 +30,8 @@
 /// # Errors
 /// Every fault with its line and column, in the order of the text.
 pub fn parse(text: &str) -> Result<Settings> {
-    let options = strict();
-    let syntax = |error: &jsonc_parser::errors::ParseError| {
-        let problem = Problem {
-            line: error.line_display(),
-            column: error.column_display(),
-            what: error.kind().to_string(),
-        };
-        vec![problem]
-    };
-    let parsed = parse_to_ast(text, &CollectOptions::default(), &options);
-    let value = parsed.map_err(|error| syntax(&error))?.value;
+    let parsed = parse_to_ast(text, &CollectOptions::default(), &strict());
+    let value = parsed.map_err(|error| vec![Problem::syntax(text, &error)])?.value;
     let mut walk = Walk { text, problems: Vec::new(), places: IndexMap::new() };
     match &value {
         Some(Value::Object(object)) => walk.object("", object, SETTINGS),
@@ -61,8 +39,8 @@
         None => walk.fault(0, "the settings are empty".to_owned()),
     }
     walk.finish()?;
-    let settings: Settings =
-        parse_to_serde_value(text, &options).map_err(|error| syntax(&error))?;
+    let settings = parse_to_serde_value(text, &strict());
+    let settings: Settings = settings.map_err(|error| vec![Problem::syntax(text, &error)])?;
     for (path, what) in check::check(&settings) {
         walk.fault(walk.place(&path), what);
     }
@@ -70,22 +48,6 @@
     Ok(settings)
 }
 
-/// JSON with comments and trailing commas, and nothing else beside.
-const fn strict() -> ParseOptions {
-    ParseOptions {
-        allow_comments: true,
-        allow_loose_object_property_names: false,
-        allow_trailing_commas: true,
-        allow_missing_commas: false,
-        allow_single_quoted_strings: false,
-        allow_hexadecimal_numbers: false,
-        allow_unary_plus_numbers: false,
-        allow_bare_decimal_point_numbers: false,
-        allow_non_finite_numbers: false,
-        allow_extended_string_escapes: false,
-    }
-}
-
 /// Compares a syntax tree with the schema.
 struct Walk<'a> {
     text: &'a str,
@@ -113,7 +75,11 @@
         if self.problems.is_empty() {
             return Ok(());
         }
-        Err(self.problems.iter().map(|(at, what)| problem(self.text, *at, what)).collect())
+        Err(self
+            .problems
+            .iter()
+            .map(|(at, what)| Problem::at(self.text, *at, what.into()))
+            .collect())
     }
 
     fn object(&mut self, prefix: &str, object: &Object<'_>, fields: &'static [Field]) {
@@ -207,11 +173,3 @@
     let rest = text.strip_prefix(SCHEME).map(|rest| rest.trim_end_matches('/'));
     rest.is_some_and(|rest| !rest.is_empty() && !rest.contains(['/', ' ', '?', '#', '@']))
 }
-
-fn problem(text: &str, at: usize, what: &str) -> Problem {
-    let before = text.get(..at).unwrap_or_default();
-    let line = before.matches('\n').count() + 1;
-    let start = before.rfind('\n').map_or(0, |end| end + 1);
-    let column = before.get(start..).unwrap_or_default().chars().count() + 1;
-    Problem { line, column, what: what.to_owned() }
-}
