revert: keep the timer service on the runtime of the sockets

Cause: orders to the timer service wake another thread, and moving the service to the reducer's thread was expected to shorten the path.

--- a/crates/gcl-daemon/src/daemon.rs
+++ b/crates/gcl-daemon/src/daemon.rs
@@ -142,16 +142,15 @@
         peers: peer::Handle::new(name.clone(), life, keys, senders.peers),
         store: gcl_store::client::Client::new(&settings.store, senders.store)?,
         backend: Backend::new(backend_options(&settings), senders.backend),
+        timers: timer::start(origin, senders.timers),
         operators,
         record: record::Writer::start(name, life, senders.heads)?,
         trace,
         exit,
     };
     let arbiter = Arbiter::new();
-    let timer_events = senders.timers;
     Reducer::start_in_arbiter(&arbiter.handle(), move |_context| {
-        let timers = timer::start(origin, timer_events);
-        Reducer::new(state, origin, ports, timers, sources)
+        Reducer::new(state, origin, ports, sources)
     });
     Ok(Outcome { caller, peer, operator, stop: senders.stop, exit: exited, arbiter })
 }
--- a/crates/gcl-daemon/src/reducer.rs
+++ b/crates/gcl-daemon/src/reducer.rs
@@ -30,6 +30,8 @@
     pub store: gcl_store::client::Client,
     /// Backend servers.
     pub backend: gcl_backend::client::Client,
+    /// The timer service.
+    pub timers: timer::Handle,
     /// The operators' port.
     pub operators: operator::Handle,
     /// The record.
@@ -90,21 +92,14 @@
     state: State,
     origin: Instant,
     ports: Ports,
-    timers: timer::Handle,
     sources: Option<Sources>,
 }
 
 impl Reducer {
     /// An actor that starts as soon as it runs; monotonic time counts from `origin`.
     #[must_use]
-    pub const fn new(
-        state: State,
-        origin: Instant,
-        ports: Ports,
-        timers: timer::Handle,
-        sources: Sources,
-    ) -> Self {
-        Self { state, origin, ports, timers, sources: Some(sources) }
+    pub const fn new(state: State, origin: Instant, ports: Ports, sources: Sources) -> Self {
+        Self { state, origin, ports, sources: Some(sources) }
     }
 
     fn now(&self) -> Now {
@@ -132,7 +127,7 @@
             Effect::Store(call) => ports.store.call(call),
             Effect::Server(server, call) => ports.backend.call(server, call),
             Effect::Operator(operation, response) => ports.operators.answer(operation, response),
-            Effect::Timer(effect) => self.timers.act(effect),
+            Effect::Timer(effect) => ports.timers.act(effect),
             Effect::Record(line) => ports.record.write(now, line),
             Effect::ReadHead => ports.record.read_head(),
             Effect::Metric(measurement) => metric::report(measurement),
--- a/crates/gcl-daemon/src/timer.rs
+++ b/crates/gcl-daemon/src/timer.rs
@@ -24,14 +24,11 @@
     }
 }
 
-/// Starts the service on this thread; times count from `origin`, keys that are due go to `events`.
-///
-/// The reducer's own thread is the place for it: every request arms timers, and an order to another
-/// thread would cost a wake-up.
+/// Starts the service; times count from `origin`, keys that are due go to `events`.
 #[must_use]
 pub fn start(origin: Instant, events: UnboundedSender<Key>) -> Handle {
     let (orders, receiver) = unbounded_channel();
-    actix_rt::spawn(serve(origin, receiver, events));
+    tokio::spawn(serve(origin, receiver, events));
     Handle { orders }
 }
 
