fix(request): repeat what a replica served too late, and never what is not repeatable

Cause: measuring replica reads under 'max_age=50ms' ended with G201 on the first late answer: a statement that calls a function was not repeated although its replica had refused it any write. Looking at the rule showed that a plain read marked as not repeatable was repeated. Both tests fail before and pass after. The repeat goes to the primary.

--- a/crates/gcl-core/src/request/fate.rs
+++ b/crates/gcl-core/src/request/fate.rs
@@ -9,7 +9,7 @@
     code::{Code, Fault},
     effect::Effects,
     id, member,
-    run::Outcome,
+    run::{Access, Outcome},
     state::State as Daemon,
     time::Now,
     timer,
@@ -102,7 +102,10 @@
     request: id::Request,
     fault: Fault,
 ) {
-    let Some(pending) = daemon.request.pending.get(&request) else { return };
+    let Some(pending) = daemon.request.pending.get_mut(&request) else { return };
+    if matches!(pending.access, Some(Access::Replica { .. })) {
+        pending.avoided.push(pending.server.clone());
+    }
     let within = daemon.request.open.contains_key(&pending.submit.session);
     let ran = fault.code == Code::AnswerTooLarge;
     if pending.harmless_twice() && !within && !ran {
--- a/crates/gcl-core/src/request/mod.rs
+++ b/crates/gcl-core/src/request/mod.rs
@@ -258,13 +258,17 @@
 }
 
 impl Pending {
-    /// Whether running it twice does no harm.
+    /// Whether it may be sent again when its outcome is in doubt: never if its caller forbade it,
+    /// else if running it twice does no harm.
     fn harmless_twice(&self) -> bool {
         let reads = matches!(self.submit.class, Class::Read) && !self.writes;
-        let declared = self.submit.options.repeatable == Some(true);
-        let idempotent = self.submit.options.request.is_some();
         let begins = matches!(self.submit.class, Class::Begin { .. });
-        let forbidden = self.submit.options.repeatable == Some(false);
-        reads || begins || (!forbidden && (declared || idempotent))
+        // A server was told to refuse its writes.
+        let bound_to_read = matches!(self.access, Some(Access::Replica { .. }));
+        let idempotent = self.submit.options.request.is_some();
+        match self.submit.options.repeatable {
+            Some(declared) => declared,
+            None => reads || begins || bound_to_read || idempotent,
+        }
     }
 }
--- a/crates/gcl-core/tests/core/request.rs
+++ b/crates/gcl-core/tests/core/request.rs
@@ -287,3 +287,26 @@
     }
     assert!(finals >= 400 - 100 - 80, "only {finals} of 400 refusals were final");
 }
+
+#[test]
+fn a_read_marked_as_not_repeatable_is_not_sent_again() {
+    let mut state = entry();
+    let mut read = submit(Class::Read);
+    read.options.repeatable = Some(false);
+    let run = start(&mut state, read);
+    let effects = answer(&mut state, at(1_010), &run, unknown());
+    assert_eq!(refused(&effects), Some(Code::OutcomeUnknown));
+}
+
+#[test]
+fn a_read_whose_replica_was_too_late_goes_to_the_primary() {
+    let mut state = entry();
+    let mut read = submit(Class::Call);
+    read.options.max_age = Some(Duration::from_secs(5));
+    let run = start(&mut state, read);
+    assert!(matches!(run.access, gcl_core::run::Access::Replica { .. }));
+    let effects = answer(&mut state, at(1_010), &run, unknown());
+    assert_eq!(ended(&effects), None, "it cannot have written, so it is tried again");
+    let again = retry(&mut state, at(1_500), &run).expect("it is sent again");
+    assert_eq!(again.access, gcl_core::run::Access::Strong);
+}
--- a/crates/gcl-standin/src/bench/mod.rs
+++ b/crates/gcl-standin/src/bench/mod.rs
@@ -2,6 +2,7 @@
 
 mod gap;
 mod path;
+mod replica;
 
 use crate::deployment::Caller;
 use eyre::{Result, bail};
@@ -15,10 +16,11 @@
 /// Rate and burst of the workspace, in requests, so that no request is refused for it.
 const RATE: u32 = 4_000_000;
 /// How the command is called.
-const USAGE: &str = "Usage: goldcrest-standin bench [options] path|gap
+const USAGE: &str = "Usage: goldcrest-standin bench [options] path|gap|replica
 
-path  latency and throughput through no, one and two daemons
-gap   time without acknowledged writes while the primary changes";
+path     latency and throughput through no, one and two daemons
+gap      time without acknowledged writes while the primary changes
+replica  share of reads that replicas serve, by the age that they accept";
 
 /// Runs the command with the arguments after its name.
 ///
@@ -26,7 +28,12 @@
 /// Bad arguments, or a measurement that fails.
 pub fn run(arguments: &[String]) -> Result<()> {
     let mut flags = Flags::new();
-    flags.optopt("", "requests", "path: requests of each row, 4000 by default", "N");
+    flags.optopt(
+        "",
+        "requests",
+        "path, replica: requests of each row, 4000 and 1000 by default",
+        "N",
+    );
     flags.optopt("", "runs", "gap: runs of each row, 10 by default", "N");
     flags.optflag("h", "help", "print this help");
     let matches = flags.parse(arguments)?;
@@ -38,6 +45,9 @@
     match matches.free.first().map(String::as_str) {
         Some("path") => system.block_on(path::measure(matches.opt_get_default("requests", 4_000)?)),
         Some("gap") => system.block_on(gap::measure(matches.opt_get_default("runs", 10)?)),
+        Some("replica") => {
+            system.block_on(replica::measure(matches.opt_get_default("requests", 1_000)?))
+        }
         _ => bail!("{USAGE}"),
     }
 }
