fix(standin): report the mark that SHOW and the stand-in's own functions see

A connection opened before the promotion kept its old mark, since SHOW and the stand-in's functions did not look at the log; the home took it for a commit of a superseded term. Ruled out: a spurious promotion, the retry rule. The new test fails before (term 1 in place of 2) and passes after.

--- a/crates/gcl-backend/tests/backend/data.rs
+++ b/crates/gcl-backend/tests/backend/data.rs
@@ -365,3 +365,15 @@
     let answer = answered(bench.run(connection, run).await);
     assert_eq!((answer.error.as_deref(), answer.mark), (Some("25006"), None));
 }
+
+#[tokio::test]
+async fn a_connection_older_than_the_term_reports_the_mark_that_its_statements_see() {
+    let mut bench = Bench::start().await;
+    let connection = bench.open().await;
+    bench.ask(Ask::Fence(2)).await.expect("a higher term");
+    bench.ask(Ask::Promote(2)).await.expect("a fenced term");
+    for sql in ["SHOW server_version", "SELECT standin_name()", "SELECT 1"] {
+        let answer = bench.sql(connection, sql).await;
+        assert_eq!(answer.mark.map(|mark| mark.term), Some(2), "{sql}");
+    }
+}
--- a/crates/gcl-standin/src/bench/mod.rs
+++ b/crates/gcl-standin/src/bench/mod.rs
@@ -35,12 +35,16 @@
         "N",
     );
     flags.optopt("", "runs", "gap: runs of each row, 10 by default", "N");
+    flags.optflag("", "log", "write the daemons' logs to standard output");
     flags.optflag("h", "help", "print this help");
     let matches = flags.parse(arguments)?;
     if matches.opt_present("help") {
         print!("{}", flags.usage(USAGE));
         return Ok(());
     }
+    if matches.opt_present("log") {
+        gcl_daemon::log::init();
+    }
     let system = actix_rt::System::with_tokio_rt(gcl_daemon::log::runtime);
     match matches.free.first().map(String::as_str) {
         Some("path") => system.block_on(path::measure(matches.opt_get_default("requests", 4_000)?)),
--- a/crates/gcl-standin/src/database/session.rs
+++ b/crates/gcl-standin/src/database/session.rs
@@ -121,8 +121,10 @@
         } else if COMMANDS.contains(&first.as_str()) {
             self.command(&text.sql)
         } else if first == "SHOW" {
+            self.see();
             Ok(self.show(&text.sql))
         } else if let Some(call) = control::find(&text.sql) {
+            self.see();
             let rows = control::answer(&self.shared, self.control, &call).await;
             rows.map(|rows| Reply { rows, tag: "SELECT".to_owned() })
         } else {
@@ -134,6 +136,13 @@
         result
     }
 
+    /// Notes what a statement without a transaction of its own shows.
+    fn see(&mut self) {
+        if self.transaction.is_none() {
+            self.mark = self.shared.node().applied();
+        }
+    }
+
     /// Ends the transaction that the statements of a batch shared, if `BEGIN` opened none.
     ///
     /// # Errors
