refactor(test): read result codes of errors in one place

Cause: the bookings test parsed the result code itself, beside the stand-ins' own function, which nothing else called.

--- a/crates/gcl-daemon/tests/e2e/bookings.rs
+++ b/crates/gcl-daemon/tests/e2e/bookings.rs
@@ -3,7 +3,10 @@
 
 use crate::fleet::Fleet;
 use gcl_core::server::Role;
-use gcl_standin::database::{Server, fault::Fault};
+use gcl_standin::{
+    database::{Server, fault::Fault},
+    deployment::code,
+};
 use std::collections::BTreeSet;
 use test_case::test_case;
 use tokio_postgres::{Client, SimpleQueryMessage};
@@ -65,13 +68,6 @@
     }
 }
 
-/// The number of the result code in an error's message.
-fn code(error: &tokio_postgres::Error) -> Option<u16> {
-    let message = error.as_db_error()?.message();
-    let digits = message.strip_prefix('G')?.split(|c: char| !c.is_ascii_digit()).next()?;
-    digits.parse().ok()
-}
-
 fn primary(fleet: &Fleet) -> &Server {
     let servers = fleet.servers.iter().filter(|server| server.report().role == Role::Primary);
     servers.max_by_key(|server| server.report().term).expect("the group has a primary")
