--- a/crates/gcl-core/src/code.rs
+++ b/crates/gcl-core/src/code.rs
@@ -119,6 +119,8 @@
     MajorityUnknown = 202, "08007";
     /// The store's answer was lost after the change may have taken effect.
     ChangeUnknown = 203, "08007";
+    /// The server took too long; the statement may have run.
+    Timeout = 204, "57014";
     /// The answer is larger than the limit; the statement ran.
     AnswerTooLarge = 301, "54000";
 }
--- /dev/null
+++ b/crates/gcl-direct/src/follow.rs
@@ -0,0 +1,370 @@
+//! What the store holds, followed: the configuration, the servers, and the daemons' own keys.
+//!
+//! Each topic is read once and then watched from one revision to the next. A watch that fails is
+//! asked for again after a pause; history that the store no longer has is made up by reading again.
+//! An entry of a server that lapses during or right after an outage of the store is kept until the
+//! server had the time to register itself again.
+
+use crate::{
+    config::Config,
+    directory::Entry,
+    effect::Effects,
+    failover,
+    group::{self, Intention, Move},
+    lease, limit,
+    line::Line,
+    member, pool, request, right, session,
+    state::{Member, State as Daemon},
+    store::{Call, Contents, Event, Failure, Item, Result, Topic},
+    timer,
+};
+use gcl_core::{code::Fault, id, time::Now};
+use indexmap::IndexMap;
+use std::{sync::Arc, time::Duration};
+
+/// Mean pause before a failed call is made again.
+const RETRY: Duration = Duration::from_millis(500);
+/// How long a lapsed entry is kept after the store was away: servers are back within two seconds.
+const LAPSED_KEPT: Duration = Duration::from_millis(2500);
+
+/// How one topic is followed.
+#[derive(Clone, Copy, Debug, Default)]
+struct Progress {
+    revision: id::Revision,
+    read: bool,
+    failing: Option<Duration>,
+}
+
+/// How the store is followed.
+#[derive(Clone, Debug, Default)]
+pub struct State {
+    topics: IndexMap<Topic, Progress>,
+    /// When a call to the store last failed.
+    failed: Option<Duration>,
+    /// Servers whose entries lapsed, and until when they are kept.
+    missing: IndexMap<id::Server, Duration>,
+}
+
+impl State {
+    /// The revision up to which the daemons' own keys are known.
+    #[must_use]
+    pub fn own_revision(&self) -> id::Revision {
+        self.topics.get(&Topic::Own).map_or(0, |known| known.revision)
+    }
+
+    /// Whether each topic was read at least once.
+    #[must_use]
+    pub fn complete(&self) -> bool {
+        Topic::ALL.iter().all(|topic| self.topics.get(topic).is_some_and(|known| known.read))
+    }
+}
+
+/// Reads every topic.
+pub fn start(fx: &mut Effects) {
+    for topic in Topic::ALL {
+        fx.store(Call::Read(topic));
+    }
+}
+
+/// Asks again for a topic whose call failed.
+pub fn on_timer(daemon: &Daemon, fx: &mut Effects, topic: Topic) {
+    let known = daemon.follow.topics.get(&topic).copied().unwrap_or_default();
+    fx.store(if known.read { Call::Watch(topic, known.revision) } else { Call::Read(topic) });
+}
+
+/// Acts on an event of the store.
+pub fn on_event(daemon: &mut Daemon, now: Now, fx: &mut Effects, event: Event) {
+    match event {
+        Event::Read(topic, result) => on_contents(daemon, now, fx, topic, result, true),
+        Event::Watched(topic, result) => on_contents(daemon, now, fx, topic, result, false),
+        Event::Written(call, result) => {
+            if !member::on_written(daemon, now, fx, call, result) {
+                failover::on_written(daemon, now, fx, call, result);
+            }
+        }
+        Event::Granted(result) => {
+            note_failure(daemon, now, result.is_err());
+            member::on_granted(daemon, now, fx, result);
+        }
+        Event::Renewed(lease, result) => {
+            note_failure(daemon, now, result.is_err());
+            member::on_renewed(daemon, now, fx, lease, result);
+        }
+    }
+}
+
+const fn note_failure(daemon: &mut Daemon, now: Now, failed: bool) {
+    if failed {
+        daemon.follow.failed = Some(now.mono);
+    }
+}
+
+fn on_contents(
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    topic: Topic,
+    result: Result<(Contents, id::Revision)>,
+    whole: bool,
+) {
+    let known = daemon.follow.topics.entry(topic).or_default();
+    let first = !known.read;
+    match result {
+        Ok((contents, revision)) => {
+            if let Some(since) = known.failing.take() {
+                let line = Line::belief("store regained").with("topic", topic.name());
+                fx.log(line.millis("away", now.since(since)));
+            }
+            // A read that overtook a watch may be older than what the watch brought.
+            if whole && revision < known.revision {
+                if topic == Topic::Own {
+                    member::on_read(daemon, now, fx, Ok(revision));
+                }
+                return;
+            }
+            known.revision = revision.max(known.revision);
+            known.read = true;
+            if !whole || first {
+                fx.store(Call::Watch(topic, known.revision));
+            }
+            apply(daemon, now, fx, contents, whole);
+            if whole && topic == Topic::Own {
+                member::on_read(daemon, now, fx, Ok(revision));
+            }
+        }
+        Err(failure) => on_failed(daemon, now, fx, topic, failure, whole),
+    }
+}
+
+fn on_failed(
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    topic: Topic,
+    failure: Failure,
+    whole: bool,
+) {
+    daemon.follow.failed = Some(now.mono);
+    let known = daemon.follow.topics.entry(topic).or_default();
+    if failure == Failure::Compacted {
+        fx.log(Line::belief("store history gone").with("topic", topic.name()));
+        known.read = false;
+        known.revision = 0;
+        return fx.store(Call::Read(topic));
+    }
+    if known.failing.is_none() {
+        known.failing = Some(now.mono);
+        let line = Line::belief("store lost").with("topic", topic.name());
+        fx.log(line.with("failure", format_args!("{failure:?}")));
+    }
+    let first = !known.read;
+    if !whole || first {
+        let pause = daemon.random.jitter(RETRY);
+        daemon.timers.arm(timer::Key::Store(topic), now.mono + pause);
+    }
+    if whole && topic == Topic::Own {
+        member::on_read(daemon, now, fx, Err(failure));
+    }
+}
+
+fn apply(daemon: &mut Daemon, now: Now, fx: &mut Effects, contents: Contents, whole: bool) {
+    match contents {
+        Contents::Config(None) => {}
+        Contents::Config(Some(Ok(config))) => on_config(daemon, now, fx, *config),
+        Contents::Config(Some(Err(fault))) => {
+            fx.log(Line::belief("configuration refused").with("fault", fault));
+        }
+        Contents::Servers(entries) => on_servers(daemon, now, fx, entries, whole),
+        Contents::Own(items) => on_own(daemon, now, fx, items, whole),
+    }
+}
+
+fn on_config(daemon: &mut Daemon, now: Now, fx: &mut Effects, config: Config) {
+    let before = daemon.config.as_ref().map_or(0, |config| config.version);
+    daemon.config_read = now.mono;
+    if config.version <= before {
+        return;
+    }
+    let line = Line::belief("configuration in force").with("version", config.version);
+    fx.log(line.with("before", before).with("routes", config.routes.len()));
+    daemon.limit = limit::State::follow(&daemon.limit, &config);
+    daemon.config = Some(Arc::new(config));
+    session::on_config(daemon, now, fx);
+}
+
+fn on_servers(
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    entries: Vec<(id::Server, Option<std::result::Result<Entry, Fault>>)>,
+    whole: bool,
+) {
+    if whole {
+        let listed = |server: &id::Server| entries.iter().any(|(name, _)| name == server);
+        let gone: Vec<_> = daemon.directory.keys().filter(|name| !listed(name)).cloned().collect();
+        for server in gone {
+            remove(daemon, now, fx, &server);
+        }
+    }
+    for (server, entry) in entries {
+        match entry {
+            Some(Ok(entry)) => put(daemon, now, fx, &server, entry),
+            Some(Err(fault)) => {
+                let line = Line::belief("server entry refused").with("server", &server);
+                fx.log(line.with("fault", fault));
+                remove(daemon, now, fx, &server);
+            }
+            None => remove(daemon, now, fx, &server),
+        }
+    }
+    failover::review_all(daemon, now, fx);
+}
+
+fn put(daemon: &mut Daemon, now: Now, fx: &mut Effects, server: &id::Server, entry: Entry) {
+    daemon.follow.missing.swap_remove(server);
+    let before = daemon.directory.get(server);
+    let restarted = before.is_some_and(|before| {
+        before.started_ms != entry.started_ms || before.address != entry.address
+    });
+    let changed = before.is_none_or(|before| {
+        (before.draining, before.leads) != (entry.draining, entry.leads) || restarted
+    });
+    if changed {
+        let line = Line::belief("server seen").with("server", server);
+        let line = line.with("database", &entry.database).with("domain", &entry.domain);
+        let line = line.with("draining", entry.draining).with("leads", entry.leads);
+        fx.log(line.with("revision", entry.revision).with("restarted", restarted));
+    }
+    let (database, leads, draining) = (entry.database.clone(), entry.leads, entry.draining);
+    daemon.directory.insert(server.clone(), entry);
+    daemon.groups.entry(database.clone()).or_default();
+    if restarted {
+        daemon.pools.entry(server.clone()).or_default().failed_until = now.mono;
+        request::drop_server(daemon, now, fx, server, "the server started again");
+    }
+    if draining {
+        pool::on_surplus(daemon, now, fx, server);
+    }
+    if leads && changed {
+        request::on_leader(daemon, now, fx, &database);
+    }
+}
+
+fn remove(daemon: &mut Daemon, now: Now, fx: &mut Effects, server: &id::Server) {
+    if !daemon.directory.contains_key(server) {
+        return;
+    }
+    let disturbed = daemon.follow.failed.is_some_and(|at| now.since(at) < LAPSED_KEPT);
+    if disturbed && !daemon.follow.missing.contains_key(server) {
+        let until = now.mono + LAPSED_KEPT;
+        daemon.follow.missing.insert(server.clone(), until);
+        daemon.timers.arm_by(timer::Key::Missing, until);
+        fx.log(Line::belief("server entry lapsed").with("server", server));
+    } else if !disturbed {
+        forget(daemon, now, fx, server);
+    }
+}
+
+fn forget(daemon: &mut Daemon, now: Now, fx: &mut Effects, server: &id::Server) {
+    daemon.follow.missing.swap_remove(server);
+    fx.log(Line::belief("server gone").with("server", server));
+    request::drop_server(daemon, now, fx, server, "the server is gone");
+    daemon.directory.swap_remove(server);
+    daemon.pools.swap_remove(server);
+}
+
+/// Takes servers as gone whose entries have not come back; while the store is away, they are kept.
+pub fn on_missing(daemon: &mut Daemon, now: Now, fx: &mut Effects) {
+    let away = daemon.follow.topics.get(&Topic::Servers).is_some_and(|it| it.failing.is_some());
+    let due = daemon.follow.missing.iter().filter(|(_, until)| **until <= now.mono);
+    let due: Vec<_> = due.map(|(server, _)| server.clone()).collect();
+    for server in due {
+        if away {
+            daemon.follow.missing.insert(server, now.mono + LAPSED_KEPT);
+        } else {
+            forget(daemon, now, fx, &server);
+        }
+    }
+    if let Some(next) = daemon.follow.missing.values().min() {
+        daemon.timers.arm_by(timer::Key::Missing, *next);
+    }
+    failover::review_all(daemon, now, fx);
+}
+
+fn on_own(daemon: &mut Daemon, now: Now, fx: &mut Effects, items: Vec<Item>, whole: bool) {
+    if whole {
+        let listed = |name: &id::Daemon| items.iter().any(|item| item.key == lease::key(name));
+        daemon.members.retain(|name, _| listed(name));
+        if !daemon.members.contains_key(&daemon.settings.daemon) {
+            daemon.lease.revision = 0;
+        }
+    }
+    for item in items {
+        if let Some(name) = item.key.strip_prefix(lease::PREFIX) {
+            on_member(daemon, fx, &id::Daemon::from(name), &item);
+        } else if let Some(database) = item.key.strip_prefix(group::PREFIX) {
+            on_intention(daemon, now, fx, &id::Database::from(database), &item);
+        }
+    }
+    failover::review_all(daemon, now, fx);
+}
+
+fn on_member(daemon: &mut Daemon, fx: &mut Effects, name: &id::Daemon, item: &Item) {
+    if *name == daemon.settings.daemon {
+        daemon.lease.revision = item.value.as_ref().map_or(0, |_| item.revision);
+    }
+    let Some(value) = &item.value else {
+        if daemon.members.swap_remove(name).is_some() {
+            fx.log(Line::belief("daemon gone").with("member", name));
+        }
+        return;
+    };
+    match serde_json::from_slice::<lease::Record>(value) {
+        Ok(record) => {
+            let before = daemon.members.get(name).map(|known| known.record.incarnation);
+            if before != Some(record.incarnation) {
+                let line = Line::belief("daemon seen").with("member", name);
+                fx.log(line.with("incarnation", record.incarnation));
+            }
+            let (lease, revision) = (item.lease, item.revision);
+            daemon.members.insert(name.clone(), Member { record, lease, revision });
+        }
+        Err(error) => {
+            let line = Line::belief("daemon key unreadable").with("member", name);
+            fx.log(line.with("error", error));
+        }
+    }
+}
+
+fn on_intention(
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    database: &id::Database,
+    item: &Item,
+) {
+    let Some(value) = &item.value else {
+        return;
+    };
+    let intention: Intention = match serde_json::from_slice(value) {
+        Ok(intention) => intention,
+        Err(error) => {
+            let line = Line::belief("intention unreadable").with("database", database);
+            return fx.log(line.with("error", error));
+        }
+    };
+    let group = daemon.groups.entry(database.clone()).or_default();
+    if group.moved.as_ref().is_some_and(|known| known.revision >= item.revision) {
+        return;
+    }
+    let line = Line::belief("primary to be moved").with("database", database);
+    let line = line.with("from", &intention.from).with("to", &intention.to);
+    let line = line.with("by", &intention.by).with("planned", intention.planned);
+    fx.log(line.with("revision", item.revision));
+    group.moved = Some(Move { intention, revision: item.revision, seen: now.mono });
+    group.released = false;
+    failover::on_intention(daemon, now, database);
+    if right::primary(daemon, now, database).is_ok() {
+        request::on_leader(daemon, now, fx, database);
+    }
+}
--- /dev/null
+++ b/crates/gcl-direct/src/group.rs
@@ -0,0 +1,86 @@
+//! The servers of one database: who leads, and what is known of each one's log.
+//!
+//! Until the daemons have moved the primary once, it is the one server that registers itself as
+//! such. After that it is the target of the newest intention in the store, once that server has
+//! registered itself as primary after the intention was written; in between there is none.
+
+use crate::{
+    directory::{self, Directory},
+    observation::History,
+};
+use compact_str::{CompactString, format_compact};
+use gcl_core::id;
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// Prefix of the intentions' keys.
+pub const PREFIX: &str = "goldcrest/group/";
+
+/// The intention to move the primary, as it stands in the store.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Intention {
+    /// The primary that nobody may use any more.
+    pub from: id::Server,
+    /// The server that takes over.
+    pub to: id::Server,
+    /// The daemon that moves it.
+    pub by: id::Daemon,
+    /// That daemon's life.
+    pub incarnation: id::Incarnation,
+    /// Whether the old primary still works and its transactions may end first.
+    pub planned: bool,
+}
+
+/// The key of a database's intention.
+#[must_use]
+pub fn key(database: &str) -> CompactString {
+    format_compact!("{PREFIX}{database}")
+}
+
+/// An intention as it was read.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Move {
+    /// The intention.
+    pub intention: Intention,
+    /// Its revision, which is also the fencing token of its promotion.
+    pub revision: id::Revision,
+    /// When this daemon first saw it.
+    pub seen: Duration,
+}
+
+/// What a daemon knows of one database.
+#[derive(Clone, Debug, Default)]
+pub struct Group {
+    /// The newest intention.
+    pub moved: Option<Move>,
+    /// Whether this daemon has given up the old primary of that intention.
+    pub released: bool,
+    /// Positions of the primary.
+    pub history: History,
+}
+
+/// Who leads a database.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Leader {
+    /// This server.
+    Known(id::Server),
+    /// The primary is being moved.
+    Moving,
+    /// No server, or more than one, registers itself as primary.
+    Unknown,
+}
+
+/// The leader of a database.
+#[must_use]
+pub fn leader(group: &Group, directory: &Directory, database: &str) -> Leader {
+    if let Some(moved) = &group.moved {
+        let target = directory.get(&moved.intention.to);
+        let took_over = target.is_some_and(|entry| entry.leads && entry.revision > moved.revision);
+        return if took_over { Leader::Known(moved.intention.to.clone()) } else { Leader::Moving };
+    }
+    let mut primaries = directory::servers(directory, database).filter(|(_, entry)| entry.leads);
+    match (primaries.next(), primaries.next()) {
+        (Some((server, _)), None) => Leader::Known(server.clone()),
+        _ => Leader::Unknown,
+    }
+}
--- /dev/null
+++ b/crates/gcl-direct/src/member.rs
@@ -0,0 +1,201 @@
+//! This daemon's key in the store: the lease is kept alive, and what others wait for is written.
+
+use crate::{
+    effect::Effects,
+    lease::{self, RENEWAL, RETRY, Stage, TIME},
+    line::Line,
+    right,
+    state::State as Daemon,
+    store::{Call, Failure, Result, Topic, Written},
+    timer,
+};
+use bytes::Bytes;
+use gcl_core::{id, store::Lease, time::Now};
+use std::time::Duration;
+
+/// Asks for a lease.
+pub fn start(daemon: &mut Daemon, now: Now, fx: &mut Effects) {
+    daemon.lease.record.incarnation = daemon.incarnation;
+    daemon.lease.stage = Stage::Asked;
+    daemon.lease.sent = now.mono;
+    fx.store(Call::Grant(TIME.max(daemon.settings.bounds.lease_min)));
+}
+
+/// Does what is due for the lease.
+pub fn on_timer(daemon: &mut Daemon, now: Now, fx: &mut Effects) {
+    match daemon.lease.stage {
+        Stage::None => start(daemon, now, fx),
+        Stage::Asked | Stage::Writing => {}
+        Stage::Reading => fx.store(Call::Read(Topic::Own)),
+        Stage::Held => {
+            daemon.lease.sent = now.mono;
+            fx.store(Call::Renew(daemon.lease.lease));
+        }
+    }
+}
+
+fn arm(daemon: &mut Daemon, now: Now, after: Duration) {
+    daemon.timers.arm(timer::Key::Lease, now.mono + after);
+}
+
+/// Takes the answer to the request for a lease.
+pub fn on_granted(
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    result: Result<(Lease, Duration)>,
+) {
+    match result {
+        Ok((lease, time)) => {
+            daemon.lease.lease = lease;
+            daemon.lease.time = time;
+            daemon.lease.since = daemon.lease.sent;
+            daemon.lease.stage = Stage::Writing;
+            write(daemon, fx);
+        }
+        Err(failure) => {
+            daemon.lease.end();
+            let line = Line::belief("lease refused");
+            fx.log(line.with("failure", format_args!("{failure:?}")));
+            arm(daemon, now, RETRY);
+        }
+    }
+}
+
+/// Writes this daemon's key, unless a write is in flight already.
+pub fn write(daemon: &mut Daemon, fx: &mut Effects) {
+    if daemon.lease.call.is_some() || daemon.lease.lease == 0 {
+        daemon.lease.changed = true;
+        return;
+    }
+    let value = match serde_json::to_vec(&daemon.lease.record) {
+        Ok(value) => Bytes::from(value),
+        Err(error) => {
+            return fx.log(Line::belief("own key cannot be encoded").with("error", error));
+        }
+    };
+    let call = daemon.next_id();
+    daemon.lease.call = Some(call);
+    daemon.lease.changed = false;
+    fx.store(Call::Write {
+        call,
+        key: lease::key(&daemon.settings.daemon),
+        expected: daemon.lease.revision,
+        value,
+        lease: daemon.lease.lease,
+    });
+}
+
+/// Takes the end of a write of this daemon's key; true when the call was one.
+pub fn on_written(
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    call: id::Call,
+    result: Result<Written>,
+) -> bool {
+    if daemon.lease.call != Some(call) {
+        return false;
+    }
+    let made = match result {
+        Ok(written) => daemon.lease.on_written(written),
+        Err(failure) => {
+            daemon.lease.call = None;
+            let line = Line::belief("own key not written");
+            fx.log(line.with("failure", format_args!("{failure:?}")));
+            false
+        }
+    };
+    if made && daemon.lease.stage == Stage::Writing {
+        daemon.lease.stage = Stage::Reading;
+        fx.store(Call::Read(Topic::Own));
+    } else if made && daemon.lease.changed {
+        write(daemon, fx);
+    } else if !made {
+        // The key is read again first, since its revision is not known.
+        daemon.lease.changed = true;
+        fx.store(Call::Read(Topic::Own));
+        arm(daemon, now, RETRY);
+    }
+    true
+}
+
+/// Goes on once the daemons' keys were read at a revision.
+///
+/// Intentions that were written before this daemon's key are only then certainly known.
+pub fn on_read(daemon: &mut Daemon, now: Now, fx: &mut Effects, result: Result<id::Revision>) {
+    let Ok(revision) = result else {
+        return arm(daemon, now, RETRY);
+    };
+    match daemon.lease.stage {
+        Stage::Reading if revision < daemon.lease.revision => fx.store(Call::Read(Topic::Own)),
+        Stage::Reading => {
+            daemon.lease.stage = Stage::Held;
+            let left = daemon.lease.until().saturating_sub(now.mono);
+            let line = Line::belief("right gained").with("lease", daemon.lease.lease);
+            fx.log(line.with("revision", revision).millis("left", left));
+            arm(daemon, now, RENEWAL);
+        }
+        Stage::Writing => write(daemon, fx),
+        _ => {}
+    }
+    if daemon.lease.changed {
+        write(daemon, fx);
+    }
+}
+
+/// Takes the end of a renewal.
+pub fn on_renewed(
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    lease: Lease,
+    result: Result<bool>,
+) {
+    if lease != daemon.lease.lease {
+        return;
+    }
+    match result {
+        Ok(true) => {
+            daemon.lease.since = daemon.lease.sent;
+            arm(daemon, now, RENEWAL);
+        }
+        Ok(false) => {
+            let line = Line::belief("right lost").with("lease", lease);
+            fx.log(line.with("reason", "the lease has ended"));
+            daemon.lease.end();
+            arm(daemon, now, Duration::ZERO);
+        }
+        Err(failure) => on_not_renewed(daemon, now, fx, failure),
+    }
+}
+
+fn on_not_renewed(daemon: &mut Daemon, now: Now, fx: &mut Effects, failure: Failure) {
+    let left = daemon.lease.until().saturating_sub(now.mono);
+    let line = Line::belief("lease not renewed").with("failure", format_args!("{failure:?}"));
+    fx.log(line.millis("left", left));
+    fx.count("gcl_lease_not_renewed", "");
+    arm(daemon, now, RETRY);
+}
+
+/// Tells those who move a primary that this daemon uses the old one no more.
+pub fn acknowledge(
+    daemon: &mut Daemon,
+    fx: &mut Effects,
+    database: &id::Database,
+    revision: id::Revision,
+) {
+    let known = daemon.lease.record.acknowledged.insert(database.clone(), revision);
+    if known != Some(revision) {
+        write(daemon, fx);
+    }
+}
+
+/// Whether the daemon can serve callers: it knows where to send them, and may use primaries.
+#[must_use]
+pub fn can_serve(daemon: &Daemon, now: Now) -> bool {
+    let knows = daemon.config.as_ref().is_some_and(|config| {
+        config.databases.keys().any(|database| right::primary(daemon, now, database).is_ok())
+    });
+    knows && daemon.lease.holds(now.mono)
+}
--- /dev/null
+++ b/crates/gcl-direct/src/pool.rs
@@ -0,0 +1,414 @@
+//! Connections to one backend server, and the statements that wait for one.
+//!
+//! All daemons together may hold only so many connections to a server. Each may hold an equal share
+//! at any time, and more while the server accepts more; what exceeds the share is closed as soon as
+//! it has rested for a moment. A connection carries one workspace, so where a workspace has none, an
+//! idle one of another workspace makes room.
+
+use crate::{
+    backend::{Call, Command, Refusal},
+    connection::{Connection, Phase, Step, Values},
+    effect::Effects,
+    line::Line,
+    queue::{self, Waiter},
+    request,
+    state::State as Daemon,
+    timer,
+};
+use gcl_core::{id, mark::Mark, time::Now};
+use indexmap::IndexSet;
+use std::time::Duration;
+
+/// How long no connection beyond the share is tried after the server had none left.
+const FULL_PAUSE: Duration = Duration::from_millis(400);
+/// How long no connection is tried after one could not be opened.
+const FAILED_PAUSE: Duration = Duration::from_millis(250);
+/// How long a connection beyond the share may rest.
+const SURPLUS_REST: Duration = Duration::from_millis(300);
+/// What a statement is taken to need before any was measured.
+const LATENCY_FIRST: Duration = Duration::from_millis(25);
+/// Weight of a new measurement, as a divisor.
+const LATENCY_WEIGHT: u32 = 8;
+/// Most shares that one daemon may hold.
+const MOST_SHARES: usize = 3;
+/// Connections that are left unused for questions about a server's state.
+const SPARE: usize = 1;
+
+/// What this daemon knows of the way to a server.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Health {
+    /// Since when nothing has succeeded, if the last thing failed.
+    pub failing: Option<Duration>,
+    /// Failures since then.
+    pub failures: u32,
+    /// When something last succeeded.
+    pub succeeded: Duration,
+}
+
+/// The connections to one server.
+#[derive(Clone, Debug)]
+pub struct Pool {
+    /// The connections.
+    pub connections: IndexSet<id::Connection>,
+    /// Statements that wait for one.
+    pub waiting: Vec<Waiter>,
+    /// Until when no connection beyond those there is tried.
+    pub full_until: Duration,
+    /// Until when no connection is tried at all.
+    pub failed_until: Duration,
+    /// How long statements take.
+    pub latency: Duration,
+    /// How long sessions hold a connection.
+    pub hold: Duration,
+    /// The way to the server.
+    pub health: Health,
+    /// Until when reads that need a recent log go elsewhere.
+    pub behind_until: Duration,
+    /// The newest log position that the server reported.
+    pub mark: Option<Mark>,
+}
+
+impl Default for Pool {
+    fn default() -> Self {
+        Self {
+            connections: IndexSet::new(),
+            waiting: Vec::new(),
+            full_until: Duration::ZERO,
+            failed_until: Duration::ZERO,
+            latency: LATENCY_FIRST,
+            hold: LATENCY_FIRST,
+            health: Health::default(),
+            behind_until: Duration::ZERO,
+            mark: None,
+        }
+    }
+}
+
+impl Pool {
+    /// Takes note that a statement took `time`.
+    pub fn on_latency(&mut self, now: Now, time: Duration) {
+        self.latency = average(self.latency, time);
+        self.on_success(now);
+    }
+
+    /// Takes note that the server did something.
+    pub const fn on_success(&mut self, now: Now) {
+        self.health = Health { failing: None, failures: 0, succeeded: now.mono };
+    }
+
+    /// Takes note that the server could not be reached, or fell silent.
+    pub fn on_failure(&mut self, now: Now) {
+        self.health.failing.get_or_insert(now.mono);
+        self.health.failures += 1;
+        self.failed_until = now.mono + FAILED_PAUSE;
+    }
+}
+
+fn average(old: Duration, new: Duration) -> Duration {
+    (old * (LATENCY_WEIGHT - 1) + new) / LATENCY_WEIGHT
+}
+
+/// Connections that this daemon may hold to a server at any time.
+#[must_use]
+pub fn share(connections: usize, members: usize) -> usize {
+    (connections.saturating_sub(SPARE) / members.max(1)).max(1)
+}
+
+/// The share of this daemon for a server.
+fn share_of(daemon: &Daemon, server: &str) -> usize {
+    let database = daemon.directory.get(server).map(|entry| &entry.database);
+    let config = daemon.config.as_ref();
+    let known = database.and_then(|database| config?.databases.get(database));
+    known.map_or(1, |known| share(known.connections, daemon.members.len()))
+}
+
+/// Queues a session's statement for a connection to a server.
+pub fn enqueue(
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    server: &id::Server,
+    waiter: Waiter,
+) {
+    daemon.pools.entry(server.clone()).or_default().waiting.push(waiter);
+    pump(daemon, now, fx, server);
+}
+
+/// Takes a session out of a server's queue.
+pub fn withdraw(daemon: &mut Daemon, server: &id::Server, session: id::Session) {
+    if let Some(pool) = daemon.pools.get_mut(server) {
+        pool.waiting.retain(|waiter| waiter.session != session);
+    }
+}
+
+/// Gives connections to sessions that wait, and opens more where that is allowed.
+pub fn pump(daemon: &mut Daemon, now: Now, fx: &mut Effects, server: &id::Server) {
+    let waiting = ordered(daemon, now, server);
+    let mut unserved = Vec::new();
+    for waiter in waiting {
+        match idle_for(daemon, server, &waiter) {
+            Some(connection) => assign(daemon, now, fx, server, connection, waiter.session),
+            None => unserved.push(waiter),
+        }
+    }
+    for (position, waiter) in unserved.iter().enumerate() {
+        let same = |other: &&Waiter| other.workspace == waiter.workspace;
+        let before = unserved[..position].iter().filter(same).count();
+        if opening(daemon, server, &waiter.workspace) > before {
+            continue;
+        }
+        if !make_room(daemon, now, fx, server) {
+            break;
+        }
+        open(daemon, now, fx, server, &waiter.workspace);
+    }
+}
+
+/// Those who wait, in the order in which they are served.
+fn ordered(daemon: &Daemon, now: Now, server: &id::Server) -> Vec<Waiter> {
+    let Some(pool) = daemon.pools.get(server) else {
+        return Vec::new();
+    };
+    let held = |workspace: &id::Workspace| {
+        let known = pool.connections.iter().filter_map(|name| daemon.connections.get(name));
+        known.filter(|known| known.session.is_some() && known.workspace == *workspace).count()
+    };
+    let mut waiting = pool.waiting.clone();
+    waiting.sort_by_cached_key(|waiter| queue::rank(waiter, now.mono, held(&waiter.workspace)));
+    waiting
+}
+
+fn idle_for(daemon: &Daemon, server: &id::Server, waiter: &Waiter) -> Option<id::Connection> {
+    let pool = daemon.pools.get(server)?;
+    let none = Values::new();
+    let values = daemon.sessions.get(&waiter.session).map_or(&none, |session| &session.values);
+    let idle = pool.connections.iter().filter(|name| {
+        let known = daemon.connections.get(*name);
+        known.is_some_and(|known| known.is_idle() && known.workspace == waiter.workspace)
+    });
+    let fits = |name: &&id::Connection| {
+        daemon.connections.get(*name).is_some_and(|known| known.fits(values))
+    };
+    idle.max_by_key(fits).copied()
+}
+
+/// Connections that are being opened for a workspace.
+fn opening(daemon: &Daemon, server: &id::Server, workspace: &id::Workspace) -> usize {
+    let Some(pool) = daemon.pools.get(server) else {
+        return 0;
+    };
+    let known = pool.connections.iter().filter_map(|name| daemon.connections.get(name));
+    known.filter(|known| known.phase == Phase::Opening && known.workspace == *workspace).count()
+}
+
+/// Whether a connection may be opened, after closing an idle one if need be.
+fn make_room(daemon: &mut Daemon, now: Now, fx: &mut Effects, server: &id::Server) -> bool {
+    let share = share_of(daemon, server);
+    let Some(pool) = daemon.pools.get(server) else {
+        return false;
+    };
+    if now.mono < pool.failed_until {
+        daemon.timers.arm_by(timer::Key::Surplus(server.clone()), pool.failed_until);
+        return false;
+    }
+    let open = pool.connections.len();
+    if open < share || (now.mono >= pool.full_until && open < share * MOST_SHARES + SPARE) {
+        return true;
+    }
+    let idle = pool
+        .connections
+        .iter()
+        .find(|name| daemon.connections.get(*name).is_some_and(Connection::is_idle));
+    let Some(idle) = idle.copied() else {
+        daemon.timers.arm_by(timer::Key::Surplus(server.clone()), pool.full_until);
+        return false;
+    };
+    close(daemon, fx, idle);
+    true
+}
+
+/// Opens a connection to a server for a workspace.
+pub fn open(
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    server: &id::Server,
+    workspace: &id::Workspace,
+) {
+    let Some(entry) = daemon.directory.get(server) else {
+        return;
+    };
+    let (address, database) = (entry.address.clone(), entry.database.clone());
+    let name = daemon.next_id();
+    let connection = Connection::new(server.clone(), workspace.clone(), now.mono);
+    daemon.connections.insert(name, connection);
+    daemon.pools.entry(server.clone()).or_default().connections.insert(name);
+    fx.count("gcl_backend_opened", server);
+    let (server, workspace) = (server.clone(), workspace.clone());
+    fx.backend(name, Call::Open { server, address, database, workspace });
+}
+
+/// Closes a connection and forgets it; the server rolls back what is open on it.
+pub fn close(daemon: &mut Daemon, fx: &mut Effects, connection: id::Connection) {
+    if let Some(known) = daemon.connections.swap_remove(&connection) {
+        if let Some(pool) = daemon.pools.get_mut(&known.server) {
+            pool.connections.swap_remove(&connection);
+        }
+        fx.backend(connection, Call::Close);
+    }
+}
+
+fn assign(
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    server: &id::Server,
+    connection: id::Connection,
+    session: id::Session,
+) {
+    withdraw(daemon, server, session);
+    if let Some(known) = daemon.connections.get_mut(&connection) {
+        known.session = Some(session);
+        known.used = now.mono;
+    }
+    request::on_connection(daemon, now, fx, session, connection);
+}
+
+/// Sends a command on a connection.
+pub fn send(
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    connection: id::Connection,
+    step: Step,
+    command: Command,
+) {
+    if let Some(known) = daemon.connections.get_mut(&connection) {
+        known.step = Some((step, now.mono));
+        fx.backend(connection, Call::Send(command));
+    }
+}
+
+/// Takes a connection back from its session, and rolls back what is open on it.
+pub fn release(daemon: &mut Daemon, now: Now, fx: &mut Effects, connection: id::Connection) {
+    let Some(known) = daemon.connections.get_mut(&connection) else {
+        return;
+    };
+    let server = known.server.clone();
+    if known.session.take().is_some() {
+        let held = now.since(known.used);
+        if let Some(pool) = daemon.pools.get_mut(&server) {
+            pool.hold = average(pool.hold, held);
+        }
+    }
+    known.used = now.mono;
+    if matches!(known.step, Some((Step::Rollback | Step::Report, _))) {
+        return;
+    }
+    if known.step.is_some() {
+        close(daemon, fx, connection);
+    } else if known.in_transaction {
+        send(daemon, now, fx, connection, Step::Rollback, Command::Rollback);
+    } else {
+        rest(daemon, now, &server);
+    }
+    pump(daemon, now, fx, &server);
+}
+
+/// Has connections that exceed the share, or lead to a server that leaves, closed when they rest.
+fn rest(daemon: &mut Daemon, now: Now, server: &id::Server) {
+    let share = share_of(daemon, server);
+    let draining = daemon.directory.get(server).is_none_or(|entry| entry.draining);
+    let count = daemon.pools.get(server).map_or(0, |pool| pool.connections.len());
+    if draining || count > share {
+        daemon.timers.arm_by(timer::Key::Surplus(server.clone()), now.mono + SURPLUS_REST);
+    }
+}
+
+/// Closes idle connections that exceed the share or lead to a server that leaves.
+pub fn on_surplus(daemon: &mut Daemon, now: Now, fx: &mut Effects, server: &id::Server) {
+    pump(daemon, now, fx, server);
+    let draining = daemon.directory.get(server).is_none_or(|entry| entry.draining);
+    let share = if draining { 0 } else { share_of(daemon, server) };
+    let Some(pool) = daemon.pools.get(server) else {
+        return;
+    };
+    let mut surplus = pool.connections.len().saturating_sub(share);
+    let mut rested = Vec::new();
+    for name in &pool.connections {
+        let idle = daemon.connections.get(name).filter(|known| known.is_idle());
+        let Some(idle) = idle.filter(|_| surplus > 0) else {
+            continue;
+        };
+        if draining || now.since(idle.used) >= SURPLUS_REST {
+            rested.push(*name);
+            surplus -= 1;
+        }
+    }
+    for name in rested {
+        close(daemon, fx, name);
+    }
+    if surplus > 0 {
+        let again = now.mono + SURPLUS_REST;
+        daemon.timers.arm_by(timer::Key::Surplus(server.clone()), again);
+    }
+}
+
+/// Takes note that a connection is open.
+pub fn on_opened(daemon: &mut Daemon, now: Now, fx: &mut Effects, connection: id::Connection) {
+    let Some(known) = daemon.connections.get_mut(&connection) else {
+        return;
+    };
+    known.phase = Phase::Open;
+    known.used = now.mono;
+    let server = known.server.clone();
+    if let Some(pool) = daemon.pools.get_mut(&server) {
+        pool.on_success(now);
+    }
+    rest(daemon, now, &server);
+    pump(daemon, now, fx, &server);
+}
+
+/// Takes note that a server refused a connection.
+pub fn on_refused(
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    connection: id::Connection,
+    refusal: &Refusal,
+) {
+    let Some(known) = daemon.connections.get(&connection) else {
+        return;
+    };
+    let server = known.server.clone();
+    close(daemon, fx, connection);
+    fx.count("gcl_backend_refused", refusal.name());
+    let Some(pool) = daemon.pools.get_mut(&server) else {
+        return;
+    };
+    let line = Line::failure("connection refused").with("server", &server);
+    fx.log(line.with("reason", refusal.name()).with("open", pool.connections.len()));
+    if *refusal == Refusal::Full {
+        pool.on_success(now);
+        pool.full_until = now.mono + FULL_PAUSE;
+    } else {
+        pool.failed_until = now.mono + FAILED_PAUSE;
+    }
+    strand(daemon, now, fx, &server);
+    pump(daemon, now, fx, &server);
+}
+
+/// Sends the waiting statements of a server elsewhere when it has no connection that could serve
+/// them soon.
+pub fn strand(daemon: &mut Daemon, now: Now, fx: &mut Effects, server: &id::Server) {
+    let Some(pool) = daemon.pools.get_mut(server) else {
+        return;
+    };
+    if !pool.connections.is_empty() {
+        return;
+    }
+    let stranded = std::mem::take(&mut pool.waiting);
+    for waiter in stranded {
+        request::on_unserved(daemon, now, fx, waiter.session, server);
+    }
+}
--- /dev/null
+++ b/crates/gcl-direct/src/reduce.rs
@@ -0,0 +1,144 @@
+//! The reducer: takes each event to the part it concerns and gathers the effects.
+
+use crate::{
+    backend::{Answer, Event as Backend},
+    connection::Step,
+    drain,
+    effect::{Effect, Effects},
+    event::Event,
+    failover, follow,
+    line::Line,
+    member, pool, request, session,
+    state::State,
+    timer,
+};
+use gcl_core::{batch::Status, id, time::Now};
+
+/// Takes one event and gives what is to be done about it, in order.
+pub fn reduce(state: &mut State, now: Now, event: Event) -> Vec<Effect> {
+    let mut fx = Effects::default();
+    match event {
+        Event::Started => {
+            fx.log(Line::belief("started").with("incarnation", state.incarnation));
+            follow::start(&mut fx);
+            member::start(state, now, &mut fx);
+        }
+        Event::Caller(session, event) => session::on_event(state, now, &mut fx, session, event),
+        Event::Backend(connection, event) => on_backend(state, now, &mut fx, connection, event),
+        Event::Store(event) => follow::on_event(state, now, &mut fx, event),
+        Event::Promoted { database, result } => {
+            failover::on_promoted(state, now, &mut fx, &database, result);
+        }
+        Event::Wake => {}
+        Event::Stop => drain::start(state, now, &mut fx),
+    }
+    while let Some(key) = state.timers.pop(now.mono) {
+        on_timer(state, now, &mut fx, key);
+    }
+    report_readiness(state, now, &mut fx);
+    fx.take()
+}
+
+/// A daemon is ready for callers while it can serve them and does not drain.
+fn report_readiness(state: &mut State, now: Now, fx: &mut Effects) {
+    let ready = state.drain == drain::State::Serving && member::can_serve(state, now);
+    if ready != state.ready {
+        state.ready = ready;
+        let left = state.lease.until().saturating_sub(now.mono);
+        fx.log(Line::belief("readiness changed").with("ready", ready).millis("lease_left", left));
+        fx.push(Effect::Ready(ready));
+    }
+}
+
+fn on_timer(state: &mut State, now: Now, fx: &mut Effects, key: timer::Key) {
+    match key {
+        timer::Key::Deadline(session) => request::on_deadline(state, now, fx, session),
+        timer::Key::Retry(session) => request::on_retry(state, now, fx, session),
+        timer::Key::Idle(session) => session::on_idle(state, now, fx, session),
+        timer::Key::Surplus(server) => pool::on_surplus(state, now, fx, &server),
+        timer::Key::Lease => member::on_timer(state, now, fx),
+        timer::Key::Store(topic) => follow::on_timer(state, fx, topic),
+        timer::Key::Missing => follow::on_missing(state, now, fx),
+        timer::Key::Failover(database) => failover::review(state, now, fx, &database),
+        timer::Key::Drain => drain::on_timer(state, now, fx),
+        timer::Key::Grace => drain::end(state, fx),
+    }
+}
+
+fn on_backend(
+    state: &mut State,
+    now: Now,
+    fx: &mut Effects,
+    connection: id::Connection,
+    event: Backend,
+) {
+    match event {
+        Backend::Opened(_) => pool::on_opened(state, now, fx, connection),
+        Backend::Refused(refusal) => pool::on_refused(state, now, fx, connection, &refusal),
+        Backend::Answered(answer) => on_answered(state, now, fx, connection, answer),
+        Backend::Closed(reason) => {
+            let server = state.connections.get(&connection).map(|known| known.server.clone());
+            let Some(server) = server else {
+                return;
+            };
+            let line = Line::failure("connection ended").with("server", &server);
+            fx.log(line.with("reason", &reason));
+            if let Some(pool) = state.pools.get_mut(&server) {
+                pool.on_failure(now);
+            }
+            request::on_closed(state, now, fx, connection, &reason);
+            pool::strand(state, now, fx, &server);
+            if let Some(entry) = state.directory.get(&server) {
+                let database = entry.database.clone();
+                failover::review(state, now, fx, &database);
+            }
+        }
+    }
+}
+
+fn on_answered(
+    state: &mut State,
+    now: Now,
+    fx: &mut Effects,
+    connection: id::Connection,
+    answer: Answer,
+) {
+    let Some(known) = state.connections.get_mut(&connection) else {
+        return;
+    };
+    let Some((step, sent)) = known.step.take() else {
+        // An answer that nothing asked for: the connection's state is in doubt.
+        return request::on_closed(state, now, fx, connection, "an answer without a question");
+    };
+    known.in_transaction = answer.status != Status::Idle;
+    let (session, server) = (known.session, known.server.clone());
+    if let Some(pool) = state.pools.get_mut(&server) {
+        pool.mark = answer.mark.or(pool.mark);
+        if step == Step::Statement {
+            pool.on_latency(now, now.since(sent));
+        } else {
+            pool.on_success(now);
+        }
+    }
+    match (step, session) {
+        (Step::Statement, Some(session)) => {
+            request::on_answer(state, now, fx, session, (connection, sent), answer);
+        }
+        (Step::Rollback | Step::Report, _) | (_, None) => {
+            if answer.result.is_err() {
+                pool::close(state, fx, connection);
+            } else {
+                pool::release(state, now, fx, connection);
+            }
+        }
+        (step, Some(session)) => {
+            let refusal = answer.result.err();
+            if refusal.is_none()
+                && let Some(known) = state.connections.get_mut(&connection)
+            {
+                known.on_done(step);
+            }
+            request::on_prepared(state, now, fx, session, connection, refusal.as_ref());
+        }
+    }
+}
--- /dev/null
+++ b/crates/gcl-direct/src/right.rs
@@ -0,0 +1,53 @@
+//! Whether this daemon may use a database's primary now.
+
+use crate::{
+    group::{self, Leader},
+    state::State as Daemon,
+};
+use gcl_core::{
+    code::{Code, Fault, Result},
+    id,
+    time::Now,
+};
+use std::time::Duration;
+
+/// When to come back while a primary is being moved.
+const MOVING_RETRY: Duration = Duration::from_millis(500);
+/// When to come back while this daemon has no right to use primaries.
+const NO_RIGHT_RETRY: Duration = Duration::from_secs(1);
+
+/// The primary that this daemon knows for a database, whether or not it may use it.
+#[must_use]
+pub fn leader(daemon: &Daemon, database: &str) -> Leader {
+    match daemon.groups.get(database) {
+        Some(known) => group::leader(known, &daemon.directory, database),
+        None => group::leader(&group::Group::default(), &daemon.directory, database),
+    }
+}
+
+/// The primary of a database, if this daemon may use it now.
+///
+/// # Errors
+/// [`Code::NoPrimary`] with the reason.
+pub fn primary(daemon: &Daemon, now: Now, database: &str) -> Result<id::Server> {
+    if !daemon.lease.holds(now.mono) {
+        let fault = Fault::new(Code::NoPrimary, "the lease to use primaries is not held");
+        return Err(fault.retry_after(NO_RIGHT_RETRY));
+    }
+    match leader(daemon, database) {
+        Leader::Known(server) => Ok(server),
+        Leader::Moving => {
+            Err(Fault::new(Code::NoPrimary, "the primary is being moved").retry_after(MOVING_RETRY))
+        }
+        Leader::Unknown => {
+            Err(Fault::new(Code::NoPrimary, "no single server is primary")
+                .retry_after(MOVING_RETRY))
+        }
+    }
+}
+
+/// Whether an answer that `server` gave as primary may still be passed on.
+#[must_use]
+pub fn covers(daemon: &Daemon, now: Now, database: &str, server: &str) -> bool {
+    primary(daemon, now, database).is_ok_and(|primary| primary == server)
+}
--- /dev/null
+++ b/crates/gcl-direct/src/session.rs
@@ -0,0 +1,490 @@
+//! Callers' sessions: login, values, prepared statements, and the state of the transaction.
+//!
+//! Values and prepared statements belong to the session and are answered here; they reach a server
+//! when a statement runs there. A transaction opens at a server with its first statement, so that
+//! callers who rest after `BEGIN` hold no connection.
+
+use crate::{
+    caller::{Event, Reply},
+    config::{Config, Route},
+    connection::Values,
+    drain,
+    effect::Effects,
+    line::Line,
+    pool,
+    request::{self, Request},
+    state::State as Daemon,
+    statement::{Access, Prepared, Query, Statement},
+    timer,
+};
+use compact_str::CompactString;
+use gcl_core::{
+    batch::Status,
+    code::{Code, Fault, Result},
+    id,
+    mark::Mark,
+    time::Now,
+};
+use indexmap::IndexMap;
+use std::{collections::VecDeque, sync::Arc, time::Duration};
+
+/// Statements that a caller may send ahead of the answers.
+const MOST_AHEAD: usize = 64;
+/// When to come back while the configuration is not known.
+const NO_CONFIG_RETRY: Duration = Duration::from_millis(500);
+
+/// An open transaction.
+#[derive(Clone, Debug)]
+pub struct Open {
+    /// Whether it only reads.
+    pub read_only: bool,
+    /// The route it began on.
+    pub route: Arc<Route>,
+    /// When its first statement came.
+    pub began: Duration,
+    /// The connection that it runs on, once it has run something.
+    pub connection: Option<id::Connection>,
+    /// Whether a write was sent.
+    pub wrote: bool,
+    /// Whether its connection was chosen as the primary.
+    pub on_primary: bool,
+}
+
+/// The state of a session's transaction.
+#[derive(Clone, Debug, Default)]
+pub enum Transaction {
+    /// None is open.
+    #[default]
+    None,
+    /// One is open.
+    Open(Box<Open>),
+    /// It failed, and waits for the caller to end it.
+    Failed,
+}
+
+impl Transaction {
+    /// The state as callers see it.
+    #[must_use]
+    pub const fn status(&self) -> Status {
+        match self {
+            Self::None => Status::Idle,
+            Self::Open(_) => Status::Open,
+            Self::Failed => Status::Failed,
+        }
+    }
+}
+
+/// A caller's session.
+#[derive(Clone, Debug, Default)]
+pub struct Session {
+    /// The service that the caller named.
+    pub service: id::Service,
+    /// The caller's key.
+    pub key: CompactString,
+    /// The workspace, empty on public routes.
+    pub workspace: id::Workspace,
+    /// Values.
+    pub values: Values,
+    /// Prepared statements by the session's names.
+    pub prepared: IndexMap<CompactString, Prepared>,
+    /// The session's own last commit by database.
+    pub floors: IndexMap<id::Database, Mark>,
+    /// The transaction.
+    pub transaction: Transaction,
+    /// The statement that a server is to run.
+    pub request: Option<Request>,
+    /// Statements that came ahead of the answers.
+    pub ahead: VecDeque<Query>,
+    /// The last log position that a server reported.
+    pub mark: Option<Mark>,
+}
+
+impl Session {
+    /// Whether nothing is open or under way.
+    #[must_use]
+    pub fn is_idle(&self) -> bool {
+        self.request.is_none()
+            && self.ahead.is_empty()
+            && matches!(self.transaction, Transaction::None)
+    }
+
+    fn ready(&self) -> Reply {
+        Reply::Ready(self.transaction.status(), self.mark)
+    }
+}
+
+/// Acts on what a caller's connection did.
+pub fn on_event(
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    session: id::Session,
+    event: Event,
+) {
+    match event {
+        Event::Login { service, key } => login(daemon, now, fx, session, service, key),
+        Event::Query(query) => on_query(daemon, now, fx, session, query),
+        Event::Malformed(fault) => {
+            fx.log(Line::failure("message refused").with("session", session).with("fault", &fault));
+            refuse_and_close(daemon, now, fx, session, fault);
+        }
+        Event::Closed => forget(daemon, now, fx, session),
+    }
+}
+
+fn login(
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    session: id::Session,
+    service: id::Service,
+    key: CompactString,
+) {
+    if daemon.sessions.contains_key(&session) {
+        let fault = Fault::new(Code::Protocol, "a session logs in once");
+        return refuse_and_close(daemon, now, fx, session, fault);
+    }
+    match admit_key(daemon.config.as_deref(), &service, &key) {
+        Ok(workspace) => {
+            let entry = Session { service, key, workspace, ..Session::default() };
+            fx.reply(session, vec![entry.ready()]);
+            daemon.sessions.insert(session, entry);
+        }
+        Err(fault) => {
+            let version = daemon.config.as_ref().map_or(0, |config| config.version);
+            let line = Line::failure("login refused").with("session", session);
+            fx.log(line.with("service", &service).with("version", version).with("fault", &fault));
+            refuse_and_close(daemon, now, fx, session, fault);
+        }
+    }
+}
+
+/// The workspace that a key opens at a service, empty on a public route.
+///
+/// # Errors
+/// The service has no route, or the key opens nothing.
+pub fn admit_key(config: Option<&Config>, service: &str, key: &str) -> Result<id::Workspace> {
+    let Some(config) = config else {
+        let fault = Fault::new(Code::StaleConfiguration, "no configuration was read yet");
+        return Err(fault.retry_after(NO_CONFIG_RETRY));
+    };
+    let route = config.routes.get(service);
+    let route = route.ok_or_else(|| Fault::new(Code::UnknownService, "no route has this name"))?;
+    if route.public {
+        return Ok(id::Workspace::default());
+    }
+    let workspace = config.keys.get(key).cloned();
+    workspace.ok_or_else(|| Fault::new(Code::WrongKey, "no workspace has this key"))
+}
+
+fn refuse_and_close(
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    session: id::Session,
+    fault: Fault,
+) {
+    fx.reply(session, vec![Reply::Error(fault)]);
+    fx.hang_up(session);
+    forget(daemon, now, fx, session);
+}
+
+/// Forgets a session whose connection ended; the server rolls back what it had open.
+pub fn forget(daemon: &mut Daemon, now: Now, fx: &mut Effects, session: id::Session) {
+    let Some(mut entry) = daemon.sessions.swap_remove(&session) else {
+        return;
+    };
+    daemon.timers.cancel(&timer::Key::Idle(session));
+    if let Some(request) = entry.request.take() {
+        request::abandon(daemon, now, fx, session, &request);
+    }
+    if let Transaction::Open(open) = entry.transaction
+        && let Some(connection) = open.connection
+    {
+        pool::release(daemon, now, fx, connection);
+    }
+    drain::on_progress(daemon, now, fx);
+}
+
+fn on_query(daemon: &mut Daemon, now: Now, fx: &mut Effects, session: id::Session, query: Query) {
+    let Some(entry) = daemon.sessions.get_mut(&session) else {
+        // The caller was refused, and wrote before it saw that.
+        return;
+    };
+    if entry.request.is_none() {
+        return handle(daemon, now, fx, session, query);
+    }
+    if entry.ahead.len() < MOST_AHEAD {
+        entry.ahead.push_back(query);
+    } else {
+        let fault = Fault::new(Code::Protocol, "too many statements ahead of their answers");
+        refuse_and_close(daemon, now, fx, session, fault);
+    }
+}
+
+fn handle(daemon: &mut Daemon, now: Now, fx: &mut Effects, session: id::Session, query: Query) {
+    daemon.timers.cancel(&timer::Key::Idle(session));
+    let Some(entry) = daemon.sessions.get(&session) else {
+        return;
+    };
+    if let Err(fault) = admit_key(daemon.config.as_deref(), &entry.service, &entry.key)
+        && fault.code == Code::WrongKey
+    {
+        return end_withdrawn(daemon, now, fx, session, Some(&query));
+    }
+    let Some(entry) = daemon.sessions.get(&session) else {
+        return;
+    };
+    match entry.transaction {
+        Transaction::Failed => on_failed(daemon, now, fx, session, &query),
+        Transaction::None => outside(daemon, now, fx, session, query),
+        Transaction::Open(_) => inside(daemon, now, fx, session, query),
+    }
+}
+
+/// Ends a session whose key was withdrawn, and rolls back its transaction.
+pub fn end_withdrawn(
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    session: id::Session,
+    query: Option<&Query>,
+) {
+    let version = daemon.config.as_ref().map_or(0, |config| config.version);
+    let line = Line::belief("session ended: key withdrawn").with("session", session);
+    let line = line.with("version", version);
+    fx.count("gcl_key_withdrawn", "");
+    if let Some(query) = query {
+        fx.log(line.with("request", &query.id));
+        let fault = Fault::new(Code::KeyWithdrawn, "the key was withdrawn");
+        refuse_and_close(daemon, now, fx, session, fault);
+    } else {
+        fx.log(line);
+        fx.hang_up(session);
+        forget(daemon, now, fx, session);
+    }
+}
+
+/// A statement after the transaction failed: only its end is accepted.
+fn on_failed(daemon: &mut Daemon, now: Now, fx: &mut Effects, session: id::Session, query: &Query) {
+    let Some(entry) = daemon.sessions.get_mut(&session) else {
+        return;
+    };
+    let reply = match query.statement {
+        Statement::Rollback => {
+            entry.transaction = Transaction::None;
+            Reply::Complete(None)
+        }
+        Statement::Commit => {
+            entry.transaction = Transaction::None;
+            Reply::Error(Fault::new(Code::TransactionLost, "the transaction had failed"))
+        }
+        _ => Reply::Error(Fault::new(Code::Protocol, "the transaction failed; end it first")),
+    };
+    answer(daemon, now, fx, session, vec![reply]);
+}
+
+fn outside(daemon: &mut Daemon, now: Now, fx: &mut Effects, session: id::Session, query: Query) {
+    match &query.statement {
+        Statement::Begin { read_only } => {
+            let read_only = *read_only;
+            match request::admit(daemon, now, fx, session, &query.id) {
+                Ok(route) => begin(daemon, now, fx, session, read_only, route),
+                Err(fault) => answer(daemon, now, fx, session, vec![Reply::Error(fault)]),
+            }
+        }
+        Statement::Commit | Statement::Rollback => {
+            let fault = Fault::new(Code::Protocol, "no transaction is open");
+            answer(daemon, now, fx, session, vec![Reply::Error(fault)]);
+        }
+        Statement::Data(_) | Statement::Execute { .. } => {
+            match request::admit(daemon, now, fx, session, &query.id) {
+                Ok(route) => run(daemon, now, fx, session, query, route),
+                Err(fault) => answer(daemon, now, fx, session, vec![Reply::Error(fault)]),
+            }
+        }
+        _ => local(daemon, now, fx, session, query.statement),
+    }
+}
+
+fn begin(
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    session: id::Session,
+    read_only: bool,
+    route: Arc<Route>,
+) {
+    if let Some(entry) = daemon.sessions.get_mut(&session) {
+        entry.transaction = Transaction::Open(Box::new(Open {
+            read_only,
+            route,
+            began: now.mono,
+            connection: None,
+            wrote: false,
+            on_primary: false,
+        }));
+    }
+    answer(daemon, now, fx, session, vec![Reply::Complete(None)]);
+}
+
+fn inside(daemon: &mut Daemon, now: Now, fx: &mut Effects, session: id::Session, query: Query) {
+    match &query.statement {
+        Statement::Begin { .. } => {
+            let fault = Fault::new(Code::Protocol, "a transaction is open already");
+            answer(daemon, now, fx, session, vec![Reply::Error(fault)]);
+        }
+        Statement::Rollback => {
+            end_transaction(daemon, now, fx, session, Transaction::None);
+            answer(daemon, now, fx, session, vec![Reply::Complete(None)]);
+        }
+        Statement::Data(_) | Statement::Execute { .. } | Statement::Commit => {
+            let entry = daemon.sessions.get(&session);
+            let Some(Transaction::Open(open)) = entry.map(|entry| &entry.transaction) else {
+                return;
+            };
+            let route = Arc::clone(&open.route);
+            run(daemon, now, fx, session, query, route);
+        }
+        _ => local(daemon, now, fx, session, query.statement),
+    }
+}
+
+/// Ends a session's transaction and gives its connection back.
+pub fn end_transaction(
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    session: id::Session,
+    next: Transaction,
+) {
+    let Some(entry) = daemon.sessions.get_mut(&session) else {
+        return;
+    };
+    let ended = std::mem::replace(&mut entry.transaction, next);
+    if let Transaction::Open(open) = ended
+        && let Some(connection) = open.connection
+    {
+        pool::release(daemon, now, fx, connection);
+    }
+}
+
+/// Answers a statement that concerns the session alone.
+fn local(
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    session: id::Session,
+    statement: Statement,
+) {
+    let Some(entry) = daemon.sessions.get_mut(&session) else {
+        return;
+    };
+    let mut reply = Reply::Complete(None);
+    match statement {
+        Statement::Unknown => {
+            reply = Reply::Error(Fault::new(Code::Protocol, "the statement is not known"));
+        }
+        Statement::Set { name, value } => {
+            entry.values.insert(name, value);
+        }
+        Statement::Prepare { name, prepared } => {
+            entry.prepared.insert(name, prepared);
+        }
+        Statement::Forget { name } if entry.prepared.swap_remove(&name).is_none() => {
+            reply = Reply::Error(unknown_statement(&name));
+        }
+        _ => {}
+    }
+    answer(daemon, now, fx, session, vec![reply]);
+}
+
+fn unknown_statement(name: &str) -> Fault {
+    Fault::new(Code::UnknownStatement, name)
+}
+
+/// Hands a statement to the servers.
+fn run(
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    session: id::Session,
+    query: Query,
+    route: Arc<Route>,
+) {
+    let Some(entry) = daemon.sessions.get(&session) else {
+        return;
+    };
+    let access = match &query.statement {
+        Statement::Data(access) => Ok(*access),
+        Statement::Execute { name, .. } => match entry.prepared.get(name) {
+            Some(prepared) => Ok(prepared.access),
+            None => Err(unknown_statement(name)),
+        },
+        _ => Ok(Access::Read),
+    };
+    match access {
+        Ok(access) => request::start(daemon, now, fx, session, query, route, access),
+        Err(fault) => answer(daemon, now, fx, session, vec![Reply::Error(fault)]),
+    }
+}
+
+/// Answers a statement, and goes on with the next one that waits.
+pub fn answer(
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    session: id::Session,
+    mut replies: Vec<Reply>,
+) {
+    let idle_limit = daemon.config.as_ref().and_then(|config| config.transaction_idle);
+    let Some(entry) = daemon.sessions.get_mut(&session) else {
+        return;
+    };
+    replies.push(entry.ready());
+    fx.reply(session, replies);
+    if let Some(query) = entry.ahead.pop_front() {
+        return handle(daemon, now, fx, session, query);
+    }
+    if let (Transaction::Open(_), Some(limit)) = (&entry.transaction, idle_limit) {
+        daemon.timers.arm(timer::Key::Idle(session), now.mono + limit);
+    }
+    drain::on_answered(daemon, now, fx, session);
+}
+
+/// Rolls back the transaction of a session that rested too long in it.
+pub fn on_idle(daemon: &mut Daemon, now: Now, fx: &mut Effects, session: id::Session) {
+    let resting = daemon.sessions.get(&session).is_some_and(|entry| entry.request.is_none());
+    if resting {
+        fail_transaction(daemon, now, fx, session, "idle for too long");
+    }
+}
+
+/// Rolls back a session's transaction; its caller learns that with its next statement.
+pub fn fail_transaction(
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    session: id::Session,
+    reason: &str,
+) {
+    let entry = daemon.sessions.get(&session);
+    if entry.is_some_and(|entry| matches!(entry.transaction, Transaction::Open(_))) {
+        let line = Line::failure("transaction rolled back").with("session", session);
+        fx.log(line.with("reason", reason));
+        end_transaction(daemon, now, fx, session, Transaction::Failed);
+    }
+}
+
+/// Ends the sessions whose key or route a new configuration no longer has.
+pub fn on_config(daemon: &mut Daemon, now: Now, fx: &mut Effects) {
+    let config = daemon.config.clone();
+    let withdrawn = daemon.sessions.iter().filter(|(_, entry)| {
+        let admitted = admit_key(config.as_deref(), &entry.service, &entry.key);
+        entry.request.is_none() && admitted.is_err_and(|fault| fault.code == Code::WrongKey)
+    });
+    let withdrawn: Vec<_> = withdrawn.map(|(name, _)| *name).collect();
+    for session in withdrawn {
+        end_withdrawn(daemon, now, fx, session, None);
+    }
+}
--- /dev/null
+++ b/crates/gcl-direct/src/settings.rs
@@ -0,0 +1,45 @@
+//! What a daemon is told at its start.
+
+use gcl_core::id;
+use indexmap::IndexMap;
+use std::time::Duration;
+
+/// Bounds that the deployment promises its users.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Bounds {
+    /// Time from the order to stop until the process is killed.
+    pub grace: Duration,
+    /// The window over which a workspace's operations are counted.
+    pub rate_window: Duration,
+    /// Part of a workspace's limit that may be exceeded within the window.
+    pub rate_excess: f64,
+    /// Operations beyond that part that may be exceeded within the window.
+    pub rate_slack: f64,
+    /// Shortest lease that the store grants.
+    pub lease_min: Duration,
+}
+
+/// Who a daemon is.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settings {
+    /// Its name.
+    pub daemon: id::Daemon,
+    /// Its failure domain.
+    pub domain: id::Domain,
+    /// The region of each failure domain.
+    pub regions: IndexMap<id::Domain, id::Region>,
+    /// Bounds of the deployment.
+    pub bounds: Bounds,
+}
+
+impl Settings {
+    /// How far a failure domain is: zero for the daemon's own, one for its region, two beyond.
+    #[must_use]
+    pub fn distance(&self, domain: &str) -> u8 {
+        if self.domain == domain {
+            return 0;
+        }
+        let own = self.regions.get(&self.domain);
+        if own.is_some() && own == self.regions.get(domain) { 1 } else { 2 }
+    }
+}
--- /dev/null
+++ b/crates/gcl-direct/src/state.rs
@@ -0,0 +1,103 @@
+//! Everything that one daemon knows.
+
+use crate::{
+    config::Config, connection::Connection, directory::Directory, drain, failover, follow,
+    group::Group, lease, limit, pool::Pool, session::Session, settings::Settings, timer,
+};
+use compact_str::CompactString;
+use gcl_core::{id, random::Random};
+use indexmap::IndexMap;
+use std::{sync::Arc, time::Duration};
+
+/// Another daemon, as the store lists it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Member {
+    /// What it says of itself.
+    pub record: lease::Record,
+    /// The lease that its key hangs on.
+    pub lease: gcl_core::store::Lease,
+    /// The revision of its key.
+    pub revision: id::Revision,
+}
+
+/// The state of one daemon.
+#[derive(Clone, Debug)]
+pub struct State {
+    /// Its settings.
+    pub settings: Settings,
+    /// This life of the daemon.
+    pub incarnation: id::Incarnation,
+    /// Its source of randomness.
+    pub random: Random,
+    /// The last id that was handed out for a connection or call.
+    pub last_id: u64,
+    /// Armed timers.
+    pub timers: timer::Service,
+    /// The configuration in force.
+    pub config: Option<Arc<Config>>,
+    /// When it was read.
+    pub config_read: Duration,
+    /// Backend servers.
+    pub directory: Directory,
+    /// Daemons that the store lists.
+    pub members: IndexMap<id::Daemon, Member>,
+    /// How the store is followed.
+    pub follow: follow::State,
+    /// This daemon's lease.
+    pub lease: lease::State,
+    /// Databases.
+    pub groups: IndexMap<id::Database, Group>,
+    /// Primaries in doubt and moves under way.
+    pub failover: failover::State,
+    /// Callers' sessions.
+    pub sessions: IndexMap<id::Session, Session>,
+    /// Connections to backend servers.
+    pub connections: IndexMap<id::Connection, Connection>,
+    /// What is known of each backend server's connections.
+    pub pools: IndexMap<id::Server, Pool>,
+    /// Rates of workspaces.
+    pub limit: limit::State,
+    /// How far a planned stop is.
+    pub drain: drain::State,
+    /// Whether the daemon has reported itself ready.
+    pub ready: bool,
+    /// The name that it opens connections with where no workspace is concerned.
+    pub nobody: CompactString,
+}
+
+impl State {
+    /// The state of a daemon that has just started; `seed` is drawn at random by the shell.
+    #[must_use]
+    pub fn new(settings: Settings, seed: u64) -> Self {
+        let mut random = Random::new(seed);
+        let incarnation = random.next() | 1;
+        Self {
+            settings,
+            incarnation,
+            random,
+            last_id: 0,
+            timers: timer::Service::default(),
+            config: None,
+            config_read: Duration::ZERO,
+            directory: Directory::default(),
+            members: IndexMap::new(),
+            follow: follow::State::default(),
+            lease: lease::State::default(),
+            groups: IndexMap::new(),
+            failover: failover::State::default(),
+            sessions: IndexMap::new(),
+            connections: IndexMap::new(),
+            pools: IndexMap::new(),
+            limit: limit::State::default(),
+            drain: drain::State::default(),
+            ready: false,
+            nobody: CompactString::const_new("-"),
+        }
+    }
+
+    /// An id for a connection or call.
+    pub fn next_id(&mut self) -> u64 {
+        self.last_id += 1;
+        self.last_id
+    }
+}
--- /dev/null
+++ b/crates/gcl-direct/src/statement.rs
@@ -0,0 +1,76 @@
+//! Statements of callers, already classified by the protocol that they arrived in.
+
+use compact_str::CompactString;
+
+/// What a statement does to the data.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub enum Access {
+    /// Reads.
+    Read,
+    /// Writes.
+    Write,
+}
+
+/// A prepared statement, independent of the name that a session gave it.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct Prepared {
+    /// What it does.
+    pub access: Access,
+    /// The statement without its parameters.
+    pub shape: CompactString,
+}
+
+/// A caller's statement.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Statement {
+    /// Opens a transaction.
+    Begin {
+        /// Whether it only reads.
+        read_only: bool,
+    },
+    /// Commits the transaction.
+    Commit,
+    /// Rolls the transaction back.
+    Rollback,
+    /// Reads or writes; the text is passed on as it is.
+    Data(Access),
+    /// Sets a value of the session.
+    Set {
+        /// The value's name.
+        name: CompactString,
+        /// The value.
+        value: CompactString,
+    },
+    /// Prepares a statement.
+    Prepare {
+        /// The session's name for it.
+        name: CompactString,
+        /// The statement.
+        prepared: Prepared,
+    },
+    /// Runs a prepared statement.
+    Execute {
+        /// The session's name for it.
+        name: CompactString,
+        /// The parameters as sent.
+        parameters: CompactString,
+    },
+    /// Forgets a prepared statement.
+    Forget {
+        /// The session's name for it.
+        name: CompactString,
+    },
+    /// Something that is no statement of the protocol.
+    Unknown,
+}
+
+/// A statement as a caller sent it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Query {
+    /// The caller's id of it.
+    pub id: CompactString,
+    /// What it is.
+    pub statement: Statement,
+    /// Its text.
+    pub text: CompactString,
+}
