--- /dev/null
+++ b/crates/gcl-daemon/src/direct/journal.rs
@@ -0,0 +1,163 @@
+//! The log: JSON lines on standard output, bounded, and never in the way of traffic.
+//!
+//! Lines gather in memory and go in batches to a thread that writes them. Each second only so many
+//! lines of a weight are taken, and a batch that the thread has no room for is dropped; what was
+//! left out is counted, and the count is the next line.
+
+use compact_str::CompactString;
+use gcl_core::{id, time::Now};
+use gcl_direct::line::{Line, Weight};
+use serde::ser::{SerializeMap, Serializer};
+use std::{
+    io::{self, Write},
+    sync::mpsc::{Receiver, SyncSender, sync_channel},
+    thread,
+    time::Duration,
+};
+
+/// Bytes of a batch.
+const BATCH_BYTES: usize = 16 << 10;
+/// Longest time that a line waits in a batch.
+pub const FLUSH: Duration = Duration::from_millis(250);
+/// Batches that may wait for the thread.
+const QUEUE_BATCHES: usize = 32;
+/// Lines a second about requests that go well.
+const ROUTINE_LINES: u32 = 60;
+/// Lines a second about requests that fail.
+const FAILURE_LINES: u32 = 150;
+/// Lines a second about what the daemon believes.
+const BELIEF_LINES: u32 = 300;
+
+/// Lines that are written together.
+#[derive(Debug, Default)]
+struct Batch {
+    bytes: Vec<u8>,
+    lines: u64,
+}
+
+/// Writes the log of one daemon.
+#[derive(Debug)]
+pub struct Journal {
+    daemon: id::Daemon,
+    batch: Batch,
+    batches: SyncSender<Batch>,
+    second: u64,
+    taken: [u32; 3],
+    left_out: u64,
+}
+
+impl Journal {
+    /// Starts the thread that writes.
+    ///
+    /// # Errors
+    /// The thread cannot be started.
+    pub fn start(daemon: id::Daemon) -> io::Result<Self> {
+        let (batches, receiver) = sync_channel(QUEUE_BATCHES);
+        thread::Builder::new().name("log".into()).spawn(move || write_all(&receiver))?;
+        Ok(Self { daemon, batch: Batch::default(), batches, second: 0, taken: [0; 3], left_out: 0 })
+    }
+
+    /// Writes the first line of a process.
+    pub fn start_line(&mut self, who: &str) {
+        let line = Line::belief("process started").with("daemon_at", who);
+        self.take(Now::default(), &line.with("version", env!("CARGO_PKG_VERSION")));
+    }
+
+    /// Takes a line; true when the batch was empty before, so that a flush is to be ordered.
+    pub fn take(&mut self, now: Now, line: &Line) -> bool {
+        let second = now.mono.as_secs();
+        if second != self.second {
+            self.second = second;
+            self.taken = [0; 3];
+        }
+        let (slot, most) = match line.weight {
+            Weight::Routine => (0, ROUTINE_LINES),
+            Weight::Failure => (1, FAILURE_LINES),
+            Weight::Belief => (2, BELIEF_LINES),
+        };
+        if self.taken[slot] >= most {
+            self.left_out += 1;
+            return false;
+        }
+        self.taken[slot] += 1;
+        let first = self.batch.bytes.is_empty();
+        if self.left_out > 0 {
+            let count = std::mem::take(&mut self.left_out);
+            self.append(now, &Line::belief("lines left out").with("count", count));
+        }
+        self.append(now, line);
+        if self.batch.bytes.len() >= BATCH_BYTES {
+            self.flush();
+        }
+        first
+    }
+
+    fn append(&mut self, now: Now, line: &Line) {
+        let before = self.batch.bytes.len();
+        if serialize(&self.daemon, now, line, &mut self.batch.bytes).is_ok() {
+            self.batch.lines += 1;
+        } else {
+            // Text cannot fail to be encoded; a half line would spoil the next one.
+            self.batch.bytes.truncate(before);
+            self.left_out += 1;
+        }
+    }
+
+    /// Hands the batch to the thread; a thread that falls behind loses it.
+    pub fn flush(&mut self) {
+        let batch = std::mem::take(&mut self.batch);
+        if let Err(rejected) = self.batches.try_send(batch) {
+            let (std::sync::mpsc::TrySendError::Full(batch)
+            | std::sync::mpsc::TrySendError::Disconnected(batch)) = rejected;
+            self.left_out += batch.lines;
+        }
+    }
+}
+
+fn serialize(
+    daemon: &id::Daemon,
+    now: Now,
+    line: &Line,
+    batch: &mut Vec<u8>,
+) -> serde_json::Result<()> {
+    let mut serializer = serde_json::Serializer::new(&mut *batch);
+    let mut map = serializer.serialize_map(None)?;
+    map.serialize_entry("at_ms", &millis(now.wall))?;
+    map.serialize_entry("up_ms", &millis(now.mono))?;
+    map.serialize_entry("daemon", daemon)?;
+    map.serialize_entry("event", line.event)?;
+    for (name, value) in &line.fields {
+        serialize_field(&mut map, name, value)?;
+    }
+    map.end()?;
+    batch.push(b'\n');
+    Ok(())
+}
+
+/// Writes a field, as a number where it is one.
+fn serialize_field<M: SerializeMap>(
+    map: &mut M,
+    name: &str,
+    value: &CompactString,
+) -> std::result::Result<(), M::Error> {
+    match value.parse::<u64>() {
+        Ok(number) if !value.starts_with(['0', '+']) || value == "0" => {
+            map.serialize_entry(name, &number)
+        }
+        _ => map.serialize_entry(name, value),
+    }
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
+fn write_all(batches: &Receiver<Batch>) {
+    let mut output = io::stdout().lock();
+    while let Ok(batch) = batches.recv() {
+        if output.write_all(&batch.bytes).and_then(|()| output.flush()).is_err() {
+            // Nobody reads the log any more; the daemon goes on without it.
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/gcl-daemon/src/direct/mod.rs
@@ -0,0 +1,95 @@
+//! The shell around the reducer of `gcl-direct`, for daemons on the users' platform.
+//!
+//! All of it runs on one thread: sockets, timers and the actor that owns the reducer's state. It
+//! turns what happens into events and carries out the effects; it decides nothing itself.
+
+mod backend;
+mod caller;
+mod clock;
+mod journal;
+mod shell;
+
+use self::{clock::Clock, journal::Journal, shell::Shell};
+use actix::Actor;
+use eyre::WrapErr;
+use gcl_direct::state::State;
+use gcl_platform::{
+    probe::Probe,
+    promotion,
+    settings::{self, Process},
+    store,
+};
+use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
+use tokio::{
+    net::TcpListener,
+    runtime::{Builder, Runtime},
+    signal::unix::{SignalKind, signal},
+    sync::oneshot,
+};
+
+/// Bounds of the latency histograms in seconds.
+const LATENCY_BUCKETS: [f64; 10] = [0.002, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 4.0];
+
+/// The runtime that carries the daemon, on the current thread.
+///
+/// # Panics
+/// When the operating system refuses an event queue.
+#[must_use]
+pub fn runtime() -> Runtime {
+    let runtime = Builder::new_current_thread().enable_all().build();
+    runtime.expect("the operating system grants an event queue")
+}
+
+/// Runs a daemon until it is told to stop and has nothing left to do.
+///
+/// # Errors
+/// A port cannot be opened, or a client not be set up.
+pub async fn run(process: Process, seed: u64) -> eyre::Result<()> {
+    let name = process.settings.daemon.clone();
+    let mut journal = Journal::start(name.clone()).wrap_err("cannot write a log")?;
+    journal.start_line(&settings::describe(&process));
+    let metrics = metrics()?;
+    let probe = Probe::default();
+    let rendered = metrics.clone();
+    let served = probe.clone().serve(process.probe, move || rendered.render()).await;
+    served.wrap_err_with(|| format!("cannot listen on {}", process.probe))?;
+    let listener = TcpListener::bind(process.callers).await;
+    let listener = listener.wrap_err_with(|| format!("cannot listen on {}", process.callers))?;
+    let (exit, exited) = oneshot::channel();
+    let shell = Shell {
+        state: State::new(process.settings, seed),
+        clock: Clock::start(),
+        journal,
+        probe,
+        store: store::Client::new(process.store)?,
+        promotion: promotion::Client::new(process.promotion, name)?,
+        links: shell::Links::new(exit),
+    };
+    let shell = shell.start();
+    caller::listen(listener, shell.clone());
+    stop_on_signals(&shell)?;
+    exited.await.wrap_err("the daemon stopped by itself")
+}
+
+fn stop_on_signals(shell: &actix::Addr<Shell>) -> eyre::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut interrupt = signal(SignalKind::interrupt())?;
+    let mut reload = signal(SignalKind::hangup())?;
+    let shell = shell.clone();
+    actix_rt::spawn(async move {
+        loop {
+            tokio::select! {
+                _ = terminate.recv() => shell.do_send(shell::Stop),
+                _ = interrupt.recv() => shell.do_send(shell::Stop),
+                _ = reload.recv() => shell.do_send(shell::Reload),
+            }
+        }
+    });
+    Ok(())
+}
+
+fn metrics() -> eyre::Result<PrometheusHandle> {
+    let builder = PrometheusBuilder::new()
+        .set_buckets_for_metric(Matcher::Suffix("_seconds".into()), &LATENCY_BUCKETS)?;
+    Ok(builder.install_recorder()?)
+}
--- /dev/null
+++ b/crates/gcl-daemon/src/direct/shell.rs
@@ -0,0 +1,250 @@
+//! The actor that owns the reducer's state: it feeds events and carries out effects.
+
+use super::{
+    backend,
+    clock::Clock,
+    journal::{self, Journal},
+};
+use crate::metric;
+use actix::{Actor, AsyncContext, Context, Handler, Message, SpawnHandle};
+use gcl_core::{id, time::Now};
+use gcl_direct::{
+    backend::Call, caller, effect::Effect, event::Event, line::Line, reduce::reduce, state::State,
+    store,
+};
+use gcl_platform::{line, probe::Probe, promotion, store::Client};
+use indexmap::IndexMap;
+use std::{io, time::Duration};
+use tokio::sync::{
+    mpsc::{UnboundedSender, unbounded_channel},
+    oneshot,
+};
+
+/// Longest wait for the store's last answer before the process ends.
+const LAST_CALL: Duration = Duration::from_millis(200);
+
+/// Something that happened outside.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct Happened(pub Event);
+
+/// A caller connected.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct Welcome {
+    /// Its session.
+    pub session: id::Session,
+    /// Where its effects go.
+    pub effects: UnboundedSender<caller::Effect>,
+}
+
+/// The operating system refused a caller's connection.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct Refused(pub io::Error);
+
+/// The process was told to stop.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct Stop;
+
+/// The settings file changed.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct Reload;
+
+/// The actor around the reducer.
+#[derive(Debug)]
+pub struct Shell {
+    /// The reducer's state.
+    pub state: State,
+    /// The daemon's clocks.
+    pub clock: Clock,
+    /// The log.
+    pub journal: Journal,
+    /// Where the platform asks whether the daemon is ready.
+    pub probe: Probe,
+    /// The platform's store.
+    pub store: Client,
+    /// Orders promotions.
+    pub promotion: promotion::Client,
+    /// What the actor keeps for itself.
+    pub links: Links,
+}
+
+/// Connections and orders of the actor.
+#[derive(Debug)]
+pub struct Links {
+    callers: IndexMap<id::Session, UnboundedSender<caller::Effect>>,
+    backends: IndexMap<id::Connection, UnboundedSender<Call>>,
+    wake: Option<(Duration, SpawnHandle)>,
+    exit: Option<oneshot::Sender<()>>,
+}
+
+impl Links {
+    /// No connections yet; `exit` is told when the daemon has nothing left to do.
+    pub fn new(exit: oneshot::Sender<()>) -> Self {
+        Self { callers: IndexMap::new(), backends: IndexMap::new(), wake: None, exit: Some(exit) }
+    }
+}
+
+impl Shell {
+    fn step(&mut self, ctx: &mut Context<Self>, event: Event) {
+        let now = self.clock.now();
+        for effect in reduce(&mut self.state, now, event) {
+            self.carry_out(ctx, now, effect);
+        }
+        self.sleep(ctx, now);
+    }
+
+    /// Orders the next event for when the next timer is due.
+    fn sleep(&mut self, ctx: &mut Context<Self>, now: Now) {
+        let next = self.state.timers.next();
+        let ordered = self.links.wake.as_ref().map(|(at, _)| *at);
+        if next == ordered {
+            return;
+        }
+        if let Some((_, handle)) = self.links.wake.take() {
+            ctx.cancel_future(handle);
+        }
+        if let Some(at) = next {
+            let handle = ctx.run_later(at.saturating_sub(now.mono), |shell, ctx| {
+                shell.links.wake = None;
+                shell.step(ctx, Event::Wake);
+            });
+            self.links.wake = Some((at, handle));
+        }
+    }
+
+    fn carry_out(&mut self, ctx: &mut Context<Self>, now: Now, effect: Effect) {
+        match effect {
+            Effect::Caller(session, effect) => self.tell_caller(session, effect),
+            Effect::Backend(connection, call) => self.call_backend(ctx, connection, call),
+            Effect::Store(call) => self.call_store(ctx, call),
+            Effect::Promote { database, server, fence } => {
+                let (client, shell) = (self.promotion.clone(), ctx.address());
+                actix_rt::spawn(async move {
+                    let result = client.promote(&database, &server, fence).await;
+                    shell.do_send(Happened(Event::Promoted { database, result }));
+                });
+            }
+            Effect::Log(line) => self.log(ctx, now, &line),
+            Effect::Metric(measurement) => metric::report(measurement),
+            Effect::Ready(ready) => self.probe.set(ready),
+            Effect::Exit => self.exit(ctx),
+        }
+    }
+
+    fn log(&mut self, ctx: &mut Context<Self>, now: Now, line: &Line) {
+        if self.journal.take(now, line) {
+            ctx.run_later(journal::FLUSH, |shell, _ctx| shell.journal.flush());
+        }
+    }
+
+    fn tell_caller(&mut self, session: id::Session, effect: caller::Effect) {
+        let closes = effect == caller::Effect::Close;
+        if let Some(effects) = self.links.callers.get(&session) {
+            // A connection that has just ended is reported by its own event.
+            let _ = effects.send(effect);
+        }
+        if closes {
+            self.links.callers.swap_remove(&session);
+        }
+    }
+
+    fn call_backend(&mut self, ctx: &mut Context<Self>, connection: id::Connection, call: Call) {
+        if let Call::Open { server, address, database, workspace } = call {
+            let (sender, calls) = unbounded_channel();
+            self.links.backends.insert(connection, sender);
+            let login = line::Message::Login { database, workspace, server };
+            actix_rt::spawn(backend::run(connection, address, login, calls, ctx.address()));
+            return;
+        }
+        let closes = call == Call::Close;
+        if let Some(calls) = self.links.backends.get(&connection) {
+            // As above.
+            let _ = calls.send(call);
+        }
+        if closes {
+            self.links.backends.swap_remove(&connection);
+        }
+    }
+
+    fn call_store(&self, ctx: &mut Context<Self>, call: store::Call) {
+        let (client, shell) = (self.store.clone(), ctx.address());
+        metrics::counter!("gcl_store_calls", "name" => call.name()).increment(1);
+        actix_rt::spawn(async move {
+            if let Some(event) = client.call(call).await {
+                shell.do_send(Happened(Event::Store(event)));
+            }
+        });
+    }
+
+    /// Ends the process once the log is written and the last call to the store had its time.
+    fn exit(&mut self, ctx: &mut Context<Self>) {
+        self.journal.flush();
+        if let Some(exit) = self.links.exit.take() {
+            ctx.run_later(LAST_CALL, move |shell, _ctx| {
+                shell.journal.flush();
+                // The process is ending already if nobody waits for this.
+                let _ = exit.send(());
+            });
+        }
+    }
+}
+
+impl Actor for Shell {
+    type Context = Context<Self>;
+
+    fn started(&mut self, ctx: &mut Self::Context) {
+        self.step(ctx, Event::Started);
+    }
+}
+
+impl Handler<Happened> for Shell {
+    type Result = ();
+
+    fn handle(&mut self, Happened(event): Happened, ctx: &mut Self::Context) {
+        if let Event::Caller(session, caller::Event::Closed) = &event {
+            self.links.callers.swap_remove(session);
+        }
+        self.step(ctx, event);
+    }
+}
+
+impl Handler<Welcome> for Shell {
+    type Result = ();
+
+    fn handle(&mut self, msg: Welcome, _ctx: &mut Self::Context) {
+        self.links.callers.insert(msg.session, msg.effects);
+    }
+}
+
+impl Handler<Refused> for Shell {
+    type Result = ();
+
+    fn handle(&mut self, Refused(error): Refused, ctx: &mut Self::Context) {
+        let line = Line::failure("caller not accepted").with("error", error);
+        let now = self.clock.now();
+        self.log(ctx, now, &line);
+    }
+}
+
+impl Handler<Stop> for Shell {
+    type Result = ();
+
+    fn handle(&mut self, _stop: Stop, ctx: &mut Self::Context) {
+        self.step(ctx, Event::Stop);
+    }
+}
+
+impl Handler<Reload> for Shell {
+    type Result = ();
+
+    fn handle(&mut self, _reload: Reload, ctx: &mut Self::Context) {
+        let line = Line::belief("reload asked for");
+        let line = line.with("outcome", "settings of a process are read at its start only");
+        let now = self.clock.now();
+        self.log(ctx, now, &line);
+    }
+}
--- a/crates/gcl-daemon/src/lib.rs
+++ b/crates/gcl-daemon/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod caller;
 pub mod daemon;
+pub mod direct;
 pub mod log;
 pub mod metric;
 pub mod operator;
--- a/crates/gcl-daemon/src/main.rs
+++ b/crates/gcl-daemon/src/main.rs
@@ -2,7 +2,8 @@
 
 use eyre::{WrapErr, bail};
 use gcl_core::settings::{self, Settings};
-use gcl_daemon::{daemon, log};
+use gcl_daemon::{daemon, direct, log};
+use gcl_platform::settings as platform;
 use getopts::Options;
 use metrics_exporter_prometheus::PrometheusBuilder;
 use std::{
@@ -43,6 +44,7 @@
     match free.as_slice() {
         ["check", path] => check(path),
         ["run", path] => run(path, matches.opt_str("record")),
+        ["platform"] => run_on_platform(),
         _ => {
             eprint!("{}", options.usage(USAGE));
             ExitCode::from(EXIT_USAGE)
@@ -52,8 +54,10 @@
 
 const USAGE: &str = "Usage: goldcrestd [options] run FILE
        goldcrestd [options] check FILE
+       goldcrestd platform
 
-Runs a daemon with the settings in FILE, or checks the settings.
+Runs a daemon with the settings in FILE, checks the settings, or runs a daemon
+on the platform that names its settings file in the environment.
 Exit codes: 0 success, 1 failure, 2 usage, 3 faults in the settings.";
 
 fn options() -> Options {
@@ -103,6 +107,24 @@
     }
 }
 
+fn run_on_platform() -> ExitCode {
+    let process = match platform::read() {
+        Ok(process) => process,
+        Err(error) => {
+            eprintln!("goldcrestd: {error}");
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    let system = actix_rt::System::with_tokio_rt(direct::runtime);
+    match system.block_on(direct::run(process, seed())) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("goldcrestd: {error:?}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
 async fn serve(settings: Settings, trace: Option<String>) -> eyre::Result<()> {
     log::init();
     let metrics = PrometheusBuilder::new().install_recorder()?;
