feat(direct): daemons tell each other demands, moves and loans by datagrams

Ruled out: seats in the store, each move of which costs a call. Change: digests by datagram (demand by workspace, known and acknowledged moves, reach of primaries, loans of the right); rates parted by demand; a pause after a full server; statements wait for at most 45 % of their time; sessions in a transaction are told of a withdrawn key, not closed.

--- a/crates/gcl-daemon/src/direct/mod.rs
+++ b/crates/gcl-daemon/src/direct/mod.rs
@@ -7,6 +7,7 @@
 mod caller;
 mod clock;
 mod journal;
+mod peer;
 mod shell;
 
 use self::{clock::Clock, journal::Journal, shell::Shell};
@@ -55,18 +56,21 @@
     served.wrap_err_with(|| format!("cannot listen on {}", process.probe))?;
     let listener = TcpListener::bind(process.callers).await;
     let listener = listener.wrap_err_with(|| format!("cannot listen on {}", process.callers))?;
+    let (socket, heard) = peer::Socket::open(process.peers).await?;
     let (exit, exited) = oneshot::channel();
     let shell = Shell {
         state: State::new(process.settings, seed),
         clock: Clock::start(),
         journal,
         probe,
+        peers: socket,
         store: store::Client::new(process.store)?,
         promotion: promotion::Client::new(process.promotion, name)?,
         links: shell::Links::new(exit),
     };
     let shell = shell.start();
     caller::listen(listener, shell.clone());
+    peer::listen(heard, shell.clone());
     stop_on_signals(&shell)?;
     exited.await.wrap_err("the daemon stopped by itself")
 }
--- a/crates/gcl-daemon/src/direct/shell.rs
+++ b/crates/gcl-daemon/src/direct/shell.rs
@@ -4,6 +4,7 @@
     backend,
     clock::Clock,
     journal::{self, Journal},
+    peer,
 };
 use crate::metric;
 use actix::{Actor, AsyncContext, Context, Handler, Message, SpawnHandle};
@@ -64,6 +65,8 @@
     pub journal: Journal,
     /// Where the platform asks whether the daemon is ready.
     pub probe: Probe,
+    /// Where other daemons are told.
+    pub peers: peer::Socket,
     /// The platform's store.
     pub store: Client,
     /// Orders promotions.
@@ -128,6 +131,7 @@
                     shell.do_send(Happened(Event::Promoted { database, result }));
                 });
             }
+            Effect::Peer { address, digest } => self.peers.tell(&address, &digest),
             Effect::Log(line) => self.log(ctx, now, &line),
             Effect::Metric(measurement) => metric::report(measurement),
             Effect::Ready(ready) => self.probe.set(ready),
--- a/crates/gcl-direct/src/effect.rs
+++ b/crates/gcl-direct/src/effect.rs
@@ -1,6 +1,7 @@
 //! Everything that the reducer can ask of its shell, as data.
 
-use crate::{backend, caller, line::Line, store};
+use crate::{backend, caller, gossip::Digest, line::Line, store};
+use compact_str::CompactString;
 use gcl_core::{id, metric::Metric};
 use std::time::Duration;
 
@@ -22,6 +23,13 @@
         /// Grows with each change of the daemon that orders.
         fence: id::Revision,
     },
+    /// Tells another daemon what this one believes.
+    Peer {
+        /// Where the daemon hears, `ip:port`.
+        address: CompactString,
+        /// What it is told.
+        digest: Box<Digest>,
+    },
     /// Writes a line of the log.
     Log(Line),
     /// Reports a measurement.
--- a/crates/gcl-direct/src/event.rs
+++ b/crates/gcl-direct/src/event.rs
@@ -1,6 +1,6 @@
 //! Everything that can happen to a daemon, as one type.
 
-use crate::{backend, caller, store};
+use crate::{backend, caller, gossip::Digest, store};
 use gcl_core::{code::Fault, id};
 
 /// Something that happened, fed to the reducer with the time.
@@ -21,6 +21,8 @@
         /// Whether the server takes over; else why not.
         result: std::result::Result<(), Fault>,
     },
+    /// Another daemon tells what it believes.
+    Peer(Box<Digest>),
     /// A timer may be due.
     Wake,
     /// The process was told to stop.
--- a/crates/gcl-direct/src/failover.rs
+++ b/crates/gcl-direct/src/failover.rs
@@ -10,12 +10,13 @@
 use crate::{
     directory,
     effect::{Effect, Effects},
+    gossip::{self, Known},
     group::{self, Intention, Leader},
     lease,
     line::Line,
     member,
     pool::Health,
-    request,
+    request, right,
     session::Transaction,
     state::State as Daemon,
     store::{Call, Result, Topic, Written},
@@ -84,8 +85,6 @@
 struct Attempt {
     revision: id::Revision,
     since: Duration,
-    /// Daemons that may still use the old primary, by the life they had.
-    waiting: Option<IndexMap<id::Daemon, id::Incarnation>>,
     revoked: Option<Duration>,
     ordered: Option<Duration>,
     orders: u32,
@@ -190,7 +189,9 @@
                 return Some(Cause::Leaving);
             }
             let health = daemon.pools.get(&server)?.health;
-            is_silent(health, now.mono, elsewhere(daemon, &server)).then_some(Cause::Silent)
+            let silent = is_silent(health, now.mono, elsewhere(daemon, &server));
+            let (answering, others) = gossip::opinions(daemon, now, &server);
+            (silent && others + 1 > answering).then_some(Cause::Silent)
         }
         Leader::Moving => stalled(daemon, now, group).then_some(Cause::Stalled),
         Leader::Unknown => {
@@ -310,7 +311,6 @@
     watch.attempt = own.then_some(Attempt {
         revision,
         since: now.mono,
-        waiting: None,
         revoked: None,
         ordered: None,
         orders: 0,
@@ -318,28 +318,52 @@
     daemon.timers.arm_by(timer::Key::Failover(database.clone()), now.mono);
 }
 
-/// Gives up the old primary of an intention, and acknowledges that.
+/// Gives up the old primary of an intention, and acknowledges that once nobody uses it by a loan.
 fn release_old(daemon: &mut Daemon, now: Now, fx: &mut Effects, database: &id::Database) {
-    let Some(group) = daemon.groups.get(database).filter(|group| !group.released) else {
+    let Some(group) = daemon.groups.get(database) else {
         return;
     };
     let Some(moved) = &group.moved else {
         return;
     };
-    let (revision, from) = (moved.revision, moved.intention.from.clone());
-    let patient = moved.intention.planned && now.since(moved.seen) < RELEASE_PATIENCE;
-    let held = held(daemon, database, &from);
-    if patient && !held.is_empty() {
-        return daemon.timers.arm_by(timer::Key::Failover(database.clone()), now.mono + STEP);
+    let (revision, from, released) = (moved.revision, moved.intention.from.clone(), group.released);
+    if !released {
+        let patient = moved.intention.planned && now.since(moved.seen) < RELEASE_PATIENCE;
+        let held = held(daemon, database, &from);
+        if patient && !held.is_empty() {
+            return daemon.timers.arm_by(timer::Key::Failover(database.clone()), now.mono + STEP);
+        }
+        if let Some(group) = daemon.groups.get_mut(database) {
+            group.released = true;
+        }
+        for (session, connection) in held {
+            request::on_lost(daemon, now, fx, session, connection, "the primary is being moved");
+        }
+        requeue(daemon, now, fx, database, &from);
     }
-    if let Some(group) = daemon.groups.get_mut(database) {
-        group.released = true;
+    if gossip::loans_ended(daemon, now, database, revision) {
+        member::acknowledge(daemon, now, fx, database, revision);
+    } else {
+        daemon.timers.arm_by(timer::Key::Failover(database.clone()), now.mono + STEP);
+    }
+}
+
+/// Takes note of an intention that another daemon knows.
+pub fn on_told(daemon: &mut Daemon, now: Now, fx: &mut Effects, known: &Known) {
+    let group = daemon.groups.entry(known.database.clone()).or_default();
+    let revision = group.moved.as_ref().map_or(0, |moved| moved.revision);
+    if known.revision > revision {
+        group.learn(known.intention.clone(), known.revision, now.mono);
+        let line = Line::belief("told of a move").with("database", &known.database);
+        let line = line.with("from", &known.intention.from).with("to", &known.intention.to);
+        fx.log(line.with("revision", known.revision));
+        on_intention(daemon, now, &known.database);
     }
-    for (session, connection) in held {
-        request::on_lost(daemon, now, fx, session, connection, "the primary is being moved");
+    let group = daemon.groups.entry(known.database.clone()).or_default();
+    if known.done && known.revision >= revision && group.done < known.revision {
+        group.done = known.revision;
+        request::on_leader(daemon, now, fx, &known.database);
     }
-    requeue(daemon, now, fx, database, &from);
-    member::acknowledge(daemon, fx, database, revision);
 }
 
 /// Sessions that use a server as the primary of a database.
@@ -412,40 +436,36 @@
     if !listed || !daemon.lease.holds(now.mono) {
         return;
     }
-    let waiting = still_using(daemon, database, &attempt);
+    let waiting = still_using(daemon, database, revision);
+    let lent = !gossip::loans_ended(daemon, now, database, revision);
     let quiet = attempt.revoked.is_none_or(|at| now.since(at) >= lease::TIME);
     let own_released = daemon.groups.get(database).is_some_and(|group| group.released);
-    if waiting.is_empty() && quiet && own_released {
+    if waiting.is_empty() && quiet && own_released && !lent {
         order(daemon, now, fx, database, &attempt, to);
     } else if now.since(attempt.since) >= REVOKE_PATIENCE && attempt.revoked.is_none() {
         revoke(daemon, now, fx, database, &waiting);
     }
-    if let Some(attempt) = attempt_of(daemon, database) {
-        attempt.waiting = Some(waiting);
-    }
 }
 
 fn attempt_of<'a>(daemon: &'a mut Daemon, database: &id::Database) -> Option<&'a mut Attempt> {
     daemon.failover.watches.get_mut(database)?.attempt.as_mut()
 }
 
-/// Daemons that may still use the old primary: they were listed after the intention was written,
-/// live on, and have not acknowledged it.
+/// Daemons that may still use the old primary: they are listed and have not acknowledged.
+///
+/// One that started again counts as well, since it may know of a loan that its earlier life gave.
 fn still_using(
     daemon: &Daemon,
     database: &id::Database,
-    attempt: &Attempt,
-) -> IndexMap<id::Daemon, id::Incarnation> {
+    revision: id::Revision,
+) -> Vec<id::Daemon> {
     let others = daemon.members.iter().filter(|(name, _)| **name != daemon.settings.daemon);
     let using = others.filter(|(name, other)| {
-        let acknowledged = other.record.acknowledged.get(database).copied().unwrap_or(0);
-        let listed = attempt
-            .waiting
-            .as_ref()
-            .is_none_or(|waiting| waiting.get(*name) == Some(&other.record.incarnation));
-        listed && acknowledged < attempt.revision
+        let written = other.record.acknowledged.get(database).copied().unwrap_or(0);
+        let told = daemon.gossip.acknowledged(name, other.record.incarnation, database);
+        written.max(told) < revision
     });
-    using.map(|(name, other)| (name.clone(), other.record.incarnation)).collect()
+    using.map(|(name, _)| name.clone()).collect()
 }
 
 fn revoke(
@@ -453,9 +473,9 @@
     now: Now,
     fx: &mut Effects,
     database: &id::Database,
-    waiting: &IndexMap<id::Daemon, id::Incarnation>,
+    waiting: &[id::Daemon],
 ) {
-    for name in waiting.keys() {
+    for name in waiting {
         if let Some(other) = daemon.members.get(name) {
             let line = Line::belief("lease of a silent daemon ended").with("database", database);
             fx.log(line.with("member", name).with("lease", other.lease));
@@ -514,3 +534,9 @@
         attempt.ordered = Some(now.mono.saturating_sub(PROMOTE_PATIENCE / 2));
     }
 }
+
+/// Whether this daemon knows who leads a database.
+#[must_use]
+pub fn settled(daemon: &Daemon, database: &str) -> bool {
+    matches!(right::leader(daemon, database), Leader::Known(_))
+}
--- a/crates/gcl-direct/src/follow.rs
+++ b/crates/gcl-direct/src/follow.rs
@@ -10,7 +10,7 @@
     directory::Entry,
     effect::Effects,
     failover,
-    group::{self, Intention, Move},
+    group::{self, Intention},
     lease, limit,
     line::Line,
     member, pool, request, right, session,
@@ -361,8 +361,7 @@
     let line = line.with("from", &intention.from).with("to", &intention.to);
     let line = line.with("by", &intention.by).with("planned", intention.planned);
     fx.log(line.with("revision", item.revision));
-    group.moved = Some(Move { intention, revision: item.revision, seen: now.mono });
-    group.released = false;
+    group.learn(intention, item.revision, now.mono);
     failover::on_intention(daemon, now, database);
     if right::primary(daemon, now, database).is_ok() {
         request::on_leader(daemon, now, fx, database);
--- /dev/null
+++ b/crates/gcl-direct/src/gossip.rs
@@ -0,0 +1,331 @@
+//! What daemons tell each other directly, by datagrams that may be lost.
+//!
+//! A digest holds what its sender believes now, so that a lost one is made up by the next:
+//!
+//! - what its callers ask of each workspace's rate, for [`crate::limit`];
+//! - the intentions to move primaries it knows, and those it has acknowledged, so that a move need
+//!   not wait for the store to carry acknowledgements, nor for daemons that the store turns away;
+//! - whether it reaches the primaries, so that one daemon that is cut off replaces none;
+//! - a loan of its right to use primaries, for a daemon that cannot renew its own lease. A lender
+//!   acknowledges an intention only once its borrowers have, or their loans have run out.
+//!
+//! No clocks are compared: a digest carries the time of the last one that its sender had from the
+//! receiver, and for how long it has held it. A loan runs from that time.
+
+use crate::{
+    drain,
+    effect::{Effect, Effects},
+    failover,
+    group::{self, Intention},
+    limit,
+    line::Line,
+    right,
+    state::State as Daemon,
+    timer,
+};
+use gcl_core::{id, time::Now};
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// Time between digests to each daemon.
+const PERIOD: Duration = Duration::from_millis(700);
+/// Time between digests while this daemon needs a loan.
+const NEED_PERIOD: Duration = Duration::from_millis(300);
+/// Silence after which a daemon is not heard.
+const SILENCE: Duration = Duration::from_millis(2500);
+/// Longest loan of the right to use primaries.
+const LOAN: Duration = Duration::from_millis(1500);
+/// What a loan ends before it is due, for the way of an answer through the daemon.
+const MARGIN: Duration = Duration::from_millis(100);
+/// What is left of the lease when loans are asked for.
+const NEED: Duration = Duration::from_secs(3);
+/// Daemons that one round of digests goes to, at most; larger fleets are told by turns.
+const MOST_RECEIVERS: usize = 24;
+/// How recent a success at a primary is that counts as reaching it.
+const REACHED: Duration = Duration::from_secs(2);
+
+/// An intention that a daemon knows.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Known {
+    /// The database.
+    pub database: id::Database,
+    /// The intention's revision.
+    pub revision: id::Revision,
+    /// The intention.
+    pub intention: Intention,
+    /// Whether its target leads.
+    pub done: bool,
+}
+
+/// Whether a daemon reaches a primary.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Reach {
+    /// The primary.
+    pub server: id::Server,
+    /// Whether it answers.
+    pub answers: bool,
+}
+
+/// The last digest that the sender had from the receiver.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Echo {
+    /// When it was sent, on the receiver's clock.
+    pub sent: Duration,
+    /// How long the sender has held it.
+    pub held: Duration,
+}
+
+/// What a daemon believes.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Digest {
+    /// The sender.
+    pub from: id::Daemon,
+    /// The sender's life.
+    pub incarnation: id::Incarnation,
+    /// When it was sent, on the sender's clock.
+    pub sent: Duration,
+    /// The last digest that the sender had from the receiver.
+    pub echo: Option<Echo>,
+    /// A loan of the right to use primaries, from [`Echo::sent`] on.
+    pub loan: Option<Duration>,
+    /// Whether the sender asks for a loan.
+    pub needs_loan: bool,
+    /// Operations a second that the sender is asked for, by workspace.
+    pub demands: Vec<(id::Workspace, f32)>,
+    /// Intentions that the sender has acknowledged.
+    pub acknowledged: Vec<(id::Database, id::Revision)>,
+    /// Intentions that the sender knows.
+    pub intentions: Vec<Known>,
+    /// Primaries that the sender uses.
+    pub reaches: Vec<Reach>,
+}
+
+/// What is known of another daemon from its digests.
+#[derive(Clone, Debug, Default)]
+struct Peer {
+    digest: Digest,
+    heard: Duration,
+    lent_until: Duration,
+}
+
+/// What daemons have told this one.
+#[derive(Clone, Debug, Default)]
+pub struct State {
+    peers: IndexMap<id::Daemon, Peer>,
+    loan_until: Duration,
+    turn: usize,
+}
+
+impl State {
+    /// When the loan of a peer's right ends.
+    #[must_use]
+    pub const fn loan_until(&self) -> Duration {
+        self.loan_until
+    }
+
+    /// The digests of daemons that are heard.
+    fn heard(&self, now: Now) -> impl Iterator<Item = (&id::Daemon, &Digest)> {
+        let heard = self.peers.iter().filter(move |(_, peer)| now.since(peer.heard) < SILENCE);
+        heard.map(|(name, peer)| (name, &peer.digest))
+    }
+
+    /// The last intention for a database that a life of a daemon has acknowledged.
+    #[must_use]
+    pub fn acknowledged(
+        &self,
+        daemon: &str,
+        incarnation: id::Incarnation,
+        database: &str,
+    ) -> id::Revision {
+        let peer = self.peers.get(daemon).filter(|it| it.digest.incarnation == incarnation);
+        let mut known = peer.into_iter().flat_map(|peer| &peer.digest.acknowledged);
+        known.find(|(name, _)| name == database).map_or(0, |(_, revision)| *revision)
+    }
+}
+
+/// Whether nobody uses a database's old primary by a loan of this daemon's right: each borrower has
+/// acknowledged the intention, or its loan has run out.
+#[must_use]
+pub fn loans_ended(
+    daemon: &Daemon,
+    now: Now,
+    database: &id::Database,
+    revision: id::Revision,
+) -> bool {
+    // An earlier life of this daemon may have lent.
+    if now.mono < LOAN {
+        return false;
+    }
+    let peers = &daemon.gossip.peers;
+    let mut borrowing = peers.iter().filter(|(_, peer)| now.mono < peer.lent_until);
+    borrowing.all(|(name, peer)| {
+        daemon.gossip.acknowledged(name, peer.digest.incarnation, database) >= revision
+    })
+}
+
+/// How the daemons share a workspace's rate.
+#[must_use]
+pub fn spread(daemon: &Daemon, now: Now, workspace: &id::Workspace) -> limit::Spread {
+    let own = daemon.limit.demand(now.mono, workspace);
+    let mut spread =
+        limit::Spread { members: daemon.members.len().max(1), heard: 1, asked: own, own };
+    for (name, digest) in daemon.gossip.heard(now) {
+        if !daemon.members.contains_key(name) {
+            continue;
+        }
+        spread.heard += 1;
+        let demand = digest.demands.iter().find(|(name, _)| name == workspace);
+        spread.asked += demand.map_or(0.0, |(_, rate)| f64::from(*rate));
+    }
+    spread
+}
+
+/// How many daemons that are heard reach a primary, and how many do not.
+#[must_use]
+pub fn opinions(daemon: &Daemon, now: Now, server: &id::Server) -> (usize, usize) {
+    let reaches = daemon.gossip.heard(now).flat_map(|(_, digest)| &digest.reaches);
+    let (answering, silent): (Vec<_>, Vec<_>) =
+        reaches.filter(|reach| reach.server == *server).partition(|reach| reach.answers);
+    (answering.len(), silent.len())
+}
+
+/// Begins to tell other daemons.
+pub fn start(daemon: &mut Daemon, now: Now) {
+    daemon.timers.arm(timer::Key::Gossip, now.mono + PERIOD);
+}
+
+/// Tells other daemons at once, since something changed that they wait for.
+pub fn nudge(daemon: &mut Daemon, now: Now) {
+    daemon.timers.arm_by(timer::Key::Gossip, now.mono);
+}
+
+/// Tells other daemons.
+pub fn on_timer(daemon: &mut Daemon, now: Now, fx: &mut Effects) {
+    let period = if needs_loan(daemon, now) { NEED_PERIOD } else { PERIOD };
+    daemon.timers.arm(timer::Key::Gossip, now.mono + period);
+    let others: Vec<_> =
+        daemon.members.keys().filter(|name| **name != daemon.settings.daemon).cloned().collect();
+    let count = others.len().min(MOST_RECEIVERS);
+    let digest = digest(daemon, now);
+    for step in 0..count {
+        let name = &others[(daemon.gossip.turn + step) % others.len()];
+        tell(daemon, now, fx, name, digest.clone());
+    }
+    daemon.gossip.turn = (daemon.gossip.turn + count) % others.len().max(1);
+}
+
+/// Whether this daemon had a lease that it may not be able to renew.
+fn needs_loan(daemon: &Daemon, now: Now) -> bool {
+    let left = daemon.lease.until().saturating_sub(now.mono);
+    daemon.lease.record.incarnation != 0 && daemon.lease.revision != 0 && left < NEED
+}
+
+/// What this daemon believes, for any receiver.
+fn digest(daemon: &Daemon, now: Now) -> Digest {
+    #[expect(clippy::cast_possible_truncation, reason = "a rate needs no more digits")]
+    let demands = daemon.limit.demands(now.mono).map(|(name, rate)| (name.clone(), rate as f32));
+    let acknowledged = &daemon.lease.record.acknowledged;
+    let intentions = daemon.groups.iter().filter_map(|(database, group)| {
+        let moved = group.moved.as_ref()?;
+        Some(Known {
+            database: database.clone(),
+            revision: moved.revision,
+            intention: moved.intention.clone(),
+            done: failover::settled(daemon, database),
+        })
+    });
+    Digest {
+        from: daemon.settings.daemon.clone(),
+        incarnation: daemon.incarnation,
+        sent: now.mono,
+        echo: None,
+        loan: None,
+        needs_loan: needs_loan(daemon, now),
+        demands: demands.collect(),
+        acknowledged: acknowledged.iter().map(|(name, at)| (name.clone(), *at)).collect(),
+        intentions: intentions.collect(),
+        reaches: reaches(daemon, now),
+    }
+}
+
+fn reaches(daemon: &Daemon, now: Now) -> Vec<Reach> {
+    let primaries = daemon.groups.keys().filter_map(|database| {
+        let group::Leader::Known(server) = right::leader(daemon, database) else {
+            return None;
+        };
+        let health = daemon.pools.get(&server)?.health;
+        let used = health.failing.is_some() || now.since(health.succeeded) < REACHED;
+        used.then_some(Reach { answers: health.failing.is_none(), server })
+    });
+    primaries.collect()
+}
+
+/// Sends a digest to a daemon, with what concerns only that one.
+fn tell(daemon: &mut Daemon, now: Now, fx: &mut Effects, name: &id::Daemon, mut digest: Digest) {
+    let Some(member) = daemon.members.get(name) else {
+        return;
+    };
+    let address = member.record.address.clone();
+    let left = daemon.lease.until().saturating_sub(now.mono);
+    let peer = daemon.gossip.peers.entry(name.clone()).or_default();
+    if peer.heard > Duration::ZERO {
+        digest.echo = Some(Echo { sent: peer.digest.sent, held: now.since(peer.heard) });
+        if peer.digest.needs_loan && left > MARGIN && daemon.drain == drain::State::Serving {
+            let loan = left.min(LOAN);
+            digest.loan = Some(loan);
+            peer.lent_until = now.mono + loan;
+        }
+    }
+    fx.push(Effect::Peer { address, digest: Box::new(digest) });
+}
+
+/// Takes a digest of another daemon.
+pub fn on_digest(daemon: &mut Daemon, now: Now, fx: &mut Effects, digest: Digest) {
+    let from = digest.from.clone();
+    let known = daemon.members.get(&from);
+    let same = known.is_none_or(|member| member.record.incarnation == digest.incarnation);
+    if from == daemon.settings.daemon || !same {
+        return;
+    }
+    let peer = daemon.gossip.peers.entry(from.clone()).or_default();
+    let reborn = peer.digest.incarnation != digest.incarnation;
+    if !reborn && digest.sent < peer.digest.sent {
+        return;
+    }
+    if reborn {
+        peer.lent_until = Duration::ZERO;
+    }
+    (peer.heard, peer.digest) = (now.mono, digest.clone());
+    for known in &digest.intentions {
+        failover::on_told(daemon, now, fx, known);
+    }
+    if let (Some(loan), Some(echo)) = (digest.loan, digest.echo) {
+        borrow(daemon, now, fx, &from, loan, echo);
+    }
+    if digest.needs_loan && daemon.lease.holds(now.mono) {
+        let answer = self::digest(daemon, now);
+        tell(daemon, now, fx, &from, answer);
+    }
+    failover::review_all(daemon, now, fx);
+}
+
+/// Takes a loan of a peer's right.
+fn borrow(
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    from: &id::Daemon,
+    loan: Duration,
+    echo: Echo,
+) {
+    let until = (echo.sent + loan).saturating_sub(MARGIN);
+    if until <= now.mono || until <= daemon.gossip.loan_until {
+        return;
+    }
+    if !right::holds(daemon, now) {
+        let line = Line::belief("right borrowed").with("lender", from);
+        fx.log(line.millis("left", until.saturating_sub(now.mono)));
+    }
+    daemon.gossip.loan_until = until;
+}
--- a/crates/gcl-direct/src/group.rs
+++ b/crates/gcl-direct/src/group.rs
@@ -55,10 +55,20 @@
     pub moved: Option<Move>,
     /// Whether this daemon has given up the old primary of that intention.
     pub released: bool,
+    /// The newest intention whose target leads, as other daemons tell.
+    pub done: id::Revision,
     /// Positions of the primary.
     pub history: History,
 }
 
+impl Group {
+    /// Takes note of a newer intention.
+    pub fn learn(&mut self, intention: Intention, revision: id::Revision, now: Duration) {
+        self.moved = Some(Move { intention, revision, seen: now });
+        self.released = false;
+    }
+}
+
 /// Who leads a database.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Leader {
@@ -76,7 +86,12 @@
     if let Some(moved) = &group.moved {
         let target = directory.get(&moved.intention.to);
         let took_over = target.is_some_and(|entry| entry.leads && entry.revision > moved.revision);
-        return if took_over { Leader::Known(moved.intention.to.clone()) } else { Leader::Moving };
+        let told = target.is_some() && group.done == moved.revision;
+        return if took_over || told {
+            Leader::Known(moved.intention.to.clone())
+        } else {
+            Leader::Moving
+        };
     }
     let mut primaries = directory::servers(directory, database).filter(|(_, entry)| entry.leads);
     match (primaries.next(), primaries.next()) {
--- a/crates/gcl-direct/src/lease.rs
+++ b/crates/gcl-direct/src/lease.rs
@@ -31,6 +31,8 @@
 pub struct Record {
     /// This life of the daemon.
     pub incarnation: id::Incarnation,
+    /// Where it hears other daemons, `ip:port`.
+    pub address: CompactString,
     /// The revision of the last intention for each database after which it uses the old primary no
     /// more.
     pub acknowledged: IndexMap<id::Database, id::Revision>,
--- a/crates/gcl-direct/src/lib.rs
+++ b/crates/gcl-direct/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod event;
 pub mod failover;
 pub mod follow;
+pub mod gossip;
 pub mod group;
 pub mod lease;
 pub mod limit;
--- a/crates/gcl-direct/src/member.rs
+++ b/crates/gcl-direct/src/member.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     effect::Effects,
+    gossip,
     lease::{self, RENEWAL, RETRY, Stage, TIME},
     line::Line,
     right,
@@ -16,6 +17,7 @@
 /// Asks for a lease.
 pub fn start(daemon: &mut Daemon, now: Now, fx: &mut Effects) {
     daemon.lease.record.incarnation = daemon.incarnation;
+    daemon.lease.record.address = daemon.settings.peer_address.clone();
     daemon.lease.stage = Stage::Asked;
     daemon.lease.sent = now.mono;
     fx.store(Call::Grant(TIME.max(daemon.settings.bounds.lease_min)));
@@ -181,12 +183,14 @@
 /// Tells those who move a primary that this daemon uses the old one no more.
 pub fn acknowledge(
     daemon: &mut Daemon,
+    now: Now,
     fx: &mut Effects,
     database: &id::Database,
     revision: id::Revision,
 ) {
     let known = daemon.lease.record.acknowledged.insert(database.clone(), revision);
     if known != Some(revision) {
+        gossip::nudge(daemon, now);
         write(daemon, fx);
     }
 }
@@ -197,5 +201,5 @@
     let knows = daemon.config.as_ref().is_some_and(|config| {
         config.databases.keys().any(|database| right::primary(daemon, now, database).is_ok())
     });
-    knows && daemon.lease.holds(now.mono)
+    knows && right::holds(daemon, now)
 }
--- a/crates/gcl-direct/src/pool.rs
+++ b/crates/gcl-direct/src/pool.rs
@@ -19,8 +19,8 @@
 use indexmap::IndexSet;
 use std::time::Duration;
 
-/// How long no connection beyond the share is tried after the server had none left.
-const FULL_PAUSE: Duration = Duration::from_millis(400);
+/// Mean time for which no connection is tried after the server had none left.
+const FULL_PAUSE: Duration = Duration::from_millis(300);
 /// How long no connection is tried after one could not be opened.
 const FAILED_PAUSE: Duration = Duration::from_millis(250);
 /// How long a connection beyond the share may rest.
@@ -52,7 +52,7 @@
     pub connections: IndexSet<id::Connection>,
     /// Statements that wait for one.
     pub waiting: Vec<Waiter>,
-    /// Until when no connection beyond those there is tried.
+    /// Until when none is added to those there, since the server had none left.
     pub full_until: Duration,
     /// Until when no connection is tried at all.
     pub failed_until: Duration,
@@ -212,19 +212,22 @@
         return false;
     }
     let open = pool.connections.len();
-    if open < share || (now.mono >= pool.full_until && open < share * MOST_SHARES + SPARE) {
+    let full = now.mono < pool.full_until;
+    if !full && open < share {
         return true;
     }
     let idle = pool
         .connections
         .iter()
         .find(|name| daemon.connections.get(*name).is_some_and(Connection::is_idle));
-    let Some(idle) = idle.copied() else {
+    if let Some(idle) = idle.copied() {
+        close(daemon, fx, idle);
+        return true;
+    }
+    if full {
         daemon.timers.arm_by(timer::Key::Surplus(server.clone()), pool.full_until);
-        return false;
-    };
-    close(daemon, fx, idle);
-    true
+    }
+    !full && open < share * MOST_SHARES
 }
 
 /// Opens a connection to a server for a workspace.
@@ -383,6 +386,7 @@
     let server = known.server.clone();
     close(daemon, fx, connection);
     fx.count("gcl_backend_refused", refusal.name());
+    let pause = daemon.random.jitter(FULL_PAUSE);
     let Some(pool) = daemon.pools.get_mut(&server) else {
         return;
     };
@@ -390,7 +394,7 @@
     fx.log(line.with("reason", refusal.name()).with("open", pool.connections.len()));
     if *refusal == Refusal::Full {
         pool.on_success(now);
-        pool.full_until = now.mono + FULL_PAUSE;
+        pool.full_until = now.mono + pause;
     } else {
         pool.failed_until = now.mono + FAILED_PAUSE;
     }
--- a/crates/gcl-direct/src/reduce.rs
+++ b/crates/gcl-direct/src/reduce.rs
@@ -6,9 +6,9 @@
     drain,
     effect::{Effect, Effects},
     event::Event,
-    failover, follow,
+    failover, follow, gossip,
     line::Line,
-    member, pool, request, session,
+    member, pool, request, right, session,
     state::State,
     timer,
 };
@@ -22,6 +22,7 @@
             fx.log(Line::belief("started").with("incarnation", state.incarnation));
             follow::start(&mut fx);
             member::start(state, now, &mut fx);
+            gossip::start(state, now);
         }
         Event::Caller(session, event) => session::on_event(state, now, &mut fx, session, event),
         Event::Backend(connection, event) => on_backend(state, now, &mut fx, connection, event),
@@ -29,6 +30,7 @@
         Event::Promoted { database, result } => {
             failover::on_promoted(state, now, &mut fx, &database, result);
         }
+        Event::Peer(digest) => gossip::on_digest(state, now, &mut fx, *digest),
         Event::Wake => {}
         Event::Stop => drain::start(state, now, &mut fx),
     }
@@ -44,7 +46,7 @@
     let ready = state.drain == drain::State::Serving && member::can_serve(state, now);
     if ready != state.ready {
         state.ready = ready;
-        let left = state.lease.until().saturating_sub(now.mono);
+        let left = right::until(state).saturating_sub(now.mono);
         fx.log(Line::belief("readiness changed").with("ready", ready).millis("lease_left", left));
         fx.push(Effect::Ready(ready));
     }
@@ -56,6 +58,7 @@
         timer::Key::Retry(session) => request::on_retry(state, now, fx, session),
         timer::Key::Idle(session) => session::on_idle(state, now, fx, session),
         timer::Key::Surplus(server) => pool::on_surplus(state, now, fx, &server),
+        timer::Key::Gossip => gossip::on_timer(state, now, fx),
         timer::Key::Lease => member::on_timer(state, now, fx),
         timer::Key::Store(topic) => follow::on_timer(state, fx, topic),
         timer::Key::Missing => follow::on_missing(state, now, fx),
--- a/crates/gcl-direct/src/request.rs
+++ b/crates/gcl-direct/src/request.rs
@@ -12,7 +12,7 @@
     connection::Step,
     directory,
     effect::Effects,
-    limit,
+    gossip, lease, limit,
     line::Line,
     place::{self, Candidate, Need},
     pool,
@@ -36,8 +36,13 @@
 const MOST_TRIES: u32 = 6;
 /// Time before a statement is tried again where nothing else has changed.
 const RETRY: Duration = Duration::from_millis(40);
+/// Part of a statement's time that it may wait for a server or a connection, in percent. A server
+/// needs the rest, and a caller that is refused by then still has the time to ask elsewhere.
+const WAIT_PERCENT: u32 = 45;
 /// Time before a statement looks for a primary again, unless one appears before that.
 const PRIMARY_RETRY: Duration = Duration::from_millis(250);
+/// How long a statement that a server could not run may wait for another one, at least.
+const RETRY_WAIT: Duration = Duration::from_millis(150);
 /// When to come back after a refusal for lack of slots.
 const BUSY_RETRY: Duration = Duration::from_millis(250);
 /// How long reads avoid a replica that had not reached their position.
@@ -67,6 +72,8 @@
     pub access: Access,
     /// When it came.
     pub arrived: Duration,
+    /// Until when it may wait to be sent.
+    pub wait_until: Duration,
     /// When it must be answered.
     pub deadline: Duration,
     /// Where it stands.
@@ -112,8 +119,11 @@
     let route = route.ok_or_else(|| Fault::new(Code::UnknownService, "the route was removed"))?;
     let workspace = config.and_then(|config| config.workspaces.get(&entry.workspace));
     if let (false, Some(workspace)) = (route.public, workspace) {
-        let part = limit::part(*workspace, &daemon.settings.bounds, daemon.members.len());
-        if let Err(wait) = daemon.limit.take(now.mono, &entry.workspace, part) {
+        let spread = gossip::spread(daemon, now, &entry.workspace);
+        let part = limit::part(*workspace, &daemon.settings.bounds, spread);
+        let taken = daemon.limit.take(now.mono, &entry.workspace, part);
+        daemon.limit.ask(now.mono, &entry.workspace);
+        if let Err(wait) = taken {
             let fault = Fault::new(Code::RateLimited, "the workspace is over its rate");
             return Err(fault.retry_after(wait));
         }
@@ -135,6 +145,7 @@
         return;
     };
     let deadline = now.mono + route.timeout;
+    let wait_until = now.mono + route.timeout * WAIT_PERCENT / 100;
     let connection = match &entry.transaction {
         Transaction::Open(open) => open.connection,
         _ => None,
@@ -145,6 +156,7 @@
         route,
         access,
         arrived: now.mono,
+        wait_until,
         deadline,
         stage,
         tries: 0,
@@ -152,7 +164,7 @@
         need: Need::Primary,
         after: None,
     });
-    daemon.timers.arm(timer::Key::Deadline(session), deadline);
+    daemon.timers.arm(timer::Key::Deadline(session), wait_until);
     match connection {
         Some(connection) => drive(daemon, now, fx, session, connection),
         None => attempt(daemon, now, fx, session),
@@ -270,7 +282,7 @@
         arrived: request.arrived,
         target: request.arrived + request.route.target_latency,
     };
-    let remaining = request.deadline.saturating_sub(now.mono);
+    let remaining = request.wait_until.saturating_sub(now.mono);
     if let Some(pool) = daemon.pools.get(server) {
         let wait = queue::expected_wait(pool.waiting.len(), pool.hold, pool.connections.len());
         if !pool.waiting.is_empty() && wait > remaining {
@@ -289,11 +301,12 @@
     session: id::Session,
     fault: Fault,
 ) {
+    let hopeless = !right::holds(daemon, now) && daemon.lease.stage == lease::Stage::Held;
     let request = daemon.sessions.get_mut(&session).and_then(|entry| entry.request.as_mut());
     let Some(request) = request else {
         return;
     };
-    if now.mono + PRIMARY_RETRY >= request.deadline {
+    if hopeless || now.mono + PRIMARY_RETRY >= request.wait_until {
         return refuse(daemon, now, fx, session, fault);
     }
     // The wait for a primary is no try of a server.
@@ -391,6 +404,7 @@
         _ => Command::Forward { id, after, text: request.query.text.clone() },
     };
     request.stage = Stage::Sent(connection);
+    daemon.timers.arm(timer::Key::Deadline(session), request.deadline);
     pool::send(daemon, now, fx, connection, Step::Statement, command);
 }
 
@@ -447,6 +461,8 @@
     let line = Line::routine("tried again").with("request", &request.query.id);
     fx.log(line.with("server", server).with("reason", reason).with("try", request.tries));
     request.stage = Stage::Waiting;
+    request.wait_until = request.wait_until.max(now.mono + RETRY_WAIT).min(request.deadline);
+    daemon.timers.arm(timer::Key::Deadline(session), request.wait_until);
     if request.need == Need::Recent && !request.avoided.contains(server) {
         request.avoided.push(server.clone());
         return attempt(daemon, now, fx, session);
--- a/crates/gcl-direct/src/right.rs
+++ b/crates/gcl-direct/src/right.rs
@@ -25,12 +25,24 @@
     }
 }
 
+/// Whether this daemon may use the primaries it knows: by its own lease, or by a loan of a peer's.
+#[must_use]
+pub fn holds(daemon: &Daemon, now: Now) -> bool {
+    now.mono < until(daemon)
+}
+
+/// When the right ends unless it is renewed.
+#[must_use]
+pub fn until(daemon: &Daemon) -> Duration {
+    daemon.lease.until().max(daemon.gossip.loan_until())
+}
+
 /// The primary of a database, if this daemon may use it now.
 ///
 /// # Errors
 /// [`Code::NoPrimary`] with the reason.
 pub fn primary(daemon: &Daemon, now: Now, database: &str) -> Result<id::Server> {
-    if !daemon.lease.holds(now.mono) {
+    if !holds(daemon, now) {
         let fault = Fault::new(Code::NoPrimary, "the lease to use primaries is not held");
         return Err(fault.retry_after(NO_RIGHT_RETRY));
     }
--- a/crates/gcl-direct/src/session.rs
+++ b/crates/gcl-direct/src/session.rs
@@ -476,12 +476,13 @@
     }
 }
 
-/// Ends the sessions whose key or route a new configuration no longer has.
+/// Ends the sessions whose key a new configuration no longer has. Those with a statement or a
+/// transaction under way are told with their next statement.
 pub fn on_config(daemon: &mut Daemon, now: Now, fx: &mut Effects) {
     let config = daemon.config.clone();
     let withdrawn = daemon.sessions.iter().filter(|(_, entry)| {
         let admitted = admit_key(config.as_deref(), &entry.service, &entry.key);
-        entry.request.is_none() && admitted.is_err_and(|fault| fault.code == Code::WrongKey)
+        entry.is_idle() && admitted.is_err_and(|fault| fault.code == Code::WrongKey)
     });
     let withdrawn: Vec<_> = withdrawn.map(|(name, _)| *name).collect();
     for session in withdrawn {
--- a/crates/gcl-direct/src/settings.rs
+++ b/crates/gcl-direct/src/settings.rs
@@ -1,5 +1,6 @@
 //! What a daemon is told at its start.
 
+use compact_str::CompactString;
 use gcl_core::id;
 use indexmap::IndexMap;
 use std::time::Duration;
@@ -28,6 +29,8 @@
     pub domain: id::Domain,
     /// The region of each failure domain.
     pub regions: IndexMap<id::Domain, id::Region>,
+    /// Where it hears other daemons, `ip:port`.
+    pub peer_address: CompactString,
     /// Bounds of the deployment.
     pub bounds: Bounds,
 }
--- a/crates/gcl-direct/src/state.rs
+++ b/crates/gcl-direct/src/state.rs
@@ -1,7 +1,7 @@
 //! Everything that one daemon knows.
 
 use crate::{
-    config::Config, connection::Connection, directory::Directory, drain, failover, follow,
+    config::Config, connection::Connection, directory::Directory, drain, failover, follow, gossip,
     group::Group, lease, limit, pool::Pool, session::Session, settings::Settings, timer,
 };
 use compact_str::CompactString;
@@ -45,6 +45,8 @@
     pub follow: follow::State,
     /// This daemon's lease.
     pub lease: lease::State,
+    /// What other daemons tell.
+    pub gossip: gossip::State,
     /// Databases.
     pub groups: IndexMap<id::Database, Group>,
     /// Primaries in doubt and moves under way.
@@ -83,6 +85,7 @@
             members: IndexMap::new(),
             follow: follow::State::default(),
             lease: lease::State::default(),
+            gossip: gossip::State::default(),
             groups: IndexMap::new(),
             failover: failover::State::default(),
             sessions: IndexMap::new(),
--- a/crates/gcl-direct/src/timer.rs
+++ b/crates/gcl-direct/src/timer.rs
@@ -19,6 +19,8 @@
     Idle(id::Session),
     /// Connections to a server that nobody uses are closed.
     Surplus(id::Server),
+    /// Other daemons are told what this one believes.
+    Gossip,
     /// This daemon's lease is due for renewal.
     Lease,
     /// A part of the store is asked for again.
