fix(failover): wait where a silent primary may have acknowledged more

Change: the patience before a move follows from evidence (the host refuses, all daemons are heard, a successor has what daemons saw); releases carry the last position seen, and the target catches up before the order; an overdue lease counts only while most daemons are heard.

--- a/crates/gcl-daemon/src/direct/backend.rs
+++ b/crates/gcl-daemon/src/direct/backend.rs
@@ -11,7 +11,11 @@
 };
 use gcl_platform::line::{self, Message};
 use socket2::{SockRef, TcpKeepalive};
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    io::{self, ErrorKind},
+    net::SocketAddr,
+    time::Duration,
+};
 use tokio::{
     net::TcpStream,
     sync::mpsc::UnboundedReceiver,
@@ -28,7 +32,41 @@
 /// Probes without an answer that end a connection.
 const KEEPALIVE_RETRIES: u32 = 2;
 
-type Result<T> = std::result::Result<T, CompactString>;
+/// Why a connection ended.
+struct End {
+    reason: CompactString,
+    /// Whether the server's host said so.
+    answered: bool,
+}
+
+impl End {
+    fn silent(reason: &str) -> Self {
+        Self { reason: reason.into(), answered: false }
+    }
+
+    fn closed(reason: &str) -> Self {
+        Self { reason: reason.into(), answered: true }
+    }
+}
+
+impl From<io::Error> for End {
+    fn from(error: io::Error) -> Self {
+        let answered =
+            matches!(error.kind(), ErrorKind::ConnectionRefused | ErrorKind::ConnectionReset);
+        Self { reason: format_compact!("{error}"), answered }
+    }
+}
+
+impl From<line::Error> for End {
+    fn from(error: line::Error) -> Self {
+        match error {
+            line::Error::Io(error) => error.into(),
+            other => Self { reason: format_compact!("{other}"), answered: true },
+        }
+    }
+}
+
+type Result<T> = std::result::Result<T, End>;
 
 /// Opens a connection, and carries commands and answers until it is closed.
 pub async fn run(
@@ -45,10 +83,11 @@
     let ended = match ended {
         Ok(Some(stream)) => carry(connection, stream, calls, &shell).await,
         Ok(None) => return,
-        Err(reason) => Err(reason),
+        Err(end) => Err(end),
     };
-    if let Err(reason) = ended {
-        shell.do_send(Happened(Event::Backend(connection, Backend::Closed(reason))));
+    if let Err(End { reason, answered }) = ended {
+        let closed = Backend::Closed { reason, answered };
+        shell.do_send(Happened(Event::Backend(connection, closed)));
     }
 }
 
@@ -71,14 +110,13 @@
     shell: &Addr<Shell>,
 ) -> Result<Option<Stream>> {
     let deadline = Instant::now() + OPEN_TIMEOUT;
-    let address: SocketAddr = address.parse().map_err(|error| format_compact!("{error}"))?;
-    let late = |_elapsed| CompactString::const_new("not open in time");
-    let text = |error: std::io::Error| format_compact!("{error}");
-    let stream = timeout_at(deadline, TcpStream::connect(address)).await.map_err(late)?;
-    let stream = stream.map_err(text)?;
-    configure(&stream).map_err(text)?;
+    let malformed = |_error| End::closed("the server's address is malformed");
+    let address: SocketAddr = address.parse().map_err(malformed)?;
+    let late = |_elapsed| End::silent("not open in time");
+    let stream = timeout_at(deadline, TcpStream::connect(address)).await.map_err(late)??;
+    configure(&stream)?;
     let mut stream = Framed::new(stream, line::Server::default());
-    stream.send(login).await.map_err(|error| format_compact!("{error}"))?;
+    stream.send(login).await?;
     let first = timeout_at(deadline, stream.next()).await.map_err(late)?;
     match first {
         Some(Ok(event)) => {
@@ -86,8 +124,8 @@
             shell.do_send(Happened(Event::Backend(connection, event)));
             Ok(open.then_some(stream))
         }
-        Some(Err(error)) => Err(format_compact!("{error}")),
-        None => Err("closed before it was open".into()),
+        Some(Err(error)) => Err(error.into()),
+        None => Err(End::closed("closed before it was open")),
     }
 }
 
@@ -112,14 +150,13 @@
         tokio::select! {
             event = stream.next() => match event {
                 Some(Ok(event)) => shell.do_send(Happened(Event::Backend(connection, event))),
-                Some(Err(error)) => return Err(format_compact!("{error}")),
-                None => return Err("closed by the server".into()),
+                Some(Err(error)) => return Err(error.into()),
+                None => return Err(End::closed("closed by the server")),
             },
             call = calls.recv() => match call {
                 Some(Call::Send(command)) => {
                     let sent = timeout(USER_TIMEOUT, stream.send(Message::Command(command))).await;
-                    let sent = sent.map_err(|_elapsed| "the server takes no bytes")?;
-                    sent.map_err(|error| format_compact!("{error}"))?;
+                    sent.map_err(|_elapsed| End::silent("the server takes no bytes"))??;
                 }
                 Some(Call::Open { .. }) => {}
                 Some(Call::Close) | None => return Ok(()),
--- a/crates/gcl-direct/src/backend.rs
+++ b/crates/gcl-direct/src/backend.rs
@@ -137,8 +137,13 @@
     Refused(Refusal),
     /// A command was answered.
     Answered(Answer),
-    /// It ended, or could not be opened; why, for the log.
-    Closed(CompactString),
+    /// It ended, or could not be opened.
+    Closed {
+        /// Why, for the log.
+        reason: CompactString,
+        /// Whether the far host said so; else it fell silent.
+        answered: bool,
+    },
 }
 
 /// What is to be done with a connection.
--- a/crates/gcl-direct/src/follow.rs
+++ b/crates/gcl-direct/src/follow.rs
@@ -19,7 +19,7 @@
     timer,
 };
 use gcl_core::{code::Fault, id, time::Now};
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use std::{sync::Arc, time::Duration};
 
 /// Mean pause before a failed call is made again.
@@ -27,6 +27,9 @@
 /// How long a lapsed entry is kept after the store was away: servers are back within two seconds.
 const LAPSED_KEPT: Duration = Duration::from_millis(2500);
 
+/// How long a daemon counts that is no longer listed.
+const RECENT: Duration = Duration::from_secs(12);
+
 /// How one topic is followed.
 #[derive(Clone, Copy, Debug, Default)]
 struct Progress {
@@ -41,11 +44,30 @@
     topics: IndexMap<Topic, Progress>,
     /// When a call to the store last failed.
     failed: Option<Duration>,
+    /// When each daemon was last listed, for those that no longer are.
+    left: IndexMap<id::Daemon, Duration>,
+    /// Daemons that are listed.
+    listed: IndexSet<id::Daemon>,
     /// Servers whose entries lapsed, and until when they are kept.
     missing: IndexMap<id::Server, Duration>,
 }
 
 impl State {
+    /// Daemons that are listed, or were a short while ago.
+    pub fn recent_members(&self, now: Now) -> impl Iterator<Item = &id::Daemon> {
+        let left = self.left.iter().filter(move |(_, at)| now.since(**at) < RECENT);
+        self.listed.iter().chain(left.map(|(name, _)| name))
+    }
+
+    fn list(&mut self, now: Now, name: &id::Daemon, listed: bool) {
+        if listed {
+            self.left.swap_remove(name);
+            self.listed.insert(name.clone());
+        } else if self.listed.swap_remove(name) {
+            self.left.insert(name.clone(), now.mono);
+        }
+    }
+
     /// The revision up to which the daemons' own keys are known.
     #[must_use]
     pub fn own_revision(&self) -> id::Revision {
@@ -294,14 +316,18 @@
 fn on_own(daemon: &mut Daemon, now: Now, fx: &mut Effects, items: Vec<Item>, whole: bool) {
     if whole {
         let listed = |name: &id::Daemon| items.iter().any(|item| item.key == lease::key(name));
-        daemon.members.retain(|name, _| listed(name));
+        let gone: Vec<_> = daemon.members.keys().filter(|it| !listed(it)).cloned().collect();
+        for name in gone {
+            daemon.members.swap_remove(&name);
+            daemon.follow.list(now, &name, false);
+        }
         if !daemon.members.contains_key(&daemon.settings.daemon) {
             daemon.lease.revision = 0;
         }
     }
     for item in items {
         if let Some(name) = item.key.strip_prefix(lease::PREFIX) {
-            on_member(daemon, fx, &id::Daemon::from(name), &item);
+            on_member(daemon, now, fx, &id::Daemon::from(name), &item);
         } else if let Some(database) = item.key.strip_prefix(group::PREFIX) {
             on_intention(daemon, now, fx, &id::Database::from(database), &item);
         }
@@ -309,11 +335,12 @@
     failover::review_all(daemon, now, fx);
 }
 
-fn on_member(daemon: &mut Daemon, fx: &mut Effects, name: &id::Daemon, item: &Item) {
+fn on_member(daemon: &mut Daemon, now: Now, fx: &mut Effects, name: &id::Daemon, item: &Item) {
     if *name == daemon.settings.daemon {
         daemon.lease.revision = item.value.as_ref().map_or(0, |_| item.revision);
     }
     let Some(value) = &item.value else {
+        daemon.follow.list(now, name, false);
         if daemon.members.swap_remove(name).is_some() {
             fx.log(Line::belief("daemon gone").with("member", name));
         }
@@ -328,6 +355,7 @@
             }
             let (lease, revision) = (item.lease, item.revision);
             daemon.members.insert(name.clone(), Member { record, lease, revision });
+            daemon.follow.list(now, name, true);
         }
         Err(error) => {
             let line = Line::belief("daemon key unreadable").with("member", name);
--- a/crates/gcl-direct/src/gossip.rs
+++ b/crates/gcl-direct/src/gossip.rs
@@ -17,13 +17,14 @@
     effect::{Effect, Effects},
     failover,
     group::{self, Intention},
+    lease::Release,
     limit,
     line::Line,
     right,
     state::State as Daemon,
     timer,
 };
-use gcl_core::{id, time::Now};
+use gcl_core::{id, mark::Mark, time::Now};
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
@@ -65,6 +66,8 @@
     pub server: id::Server,
     /// Whether it answers.
     pub answers: bool,
+    /// The newest log position that it answered with.
+    pub mark: Option<Mark>,
 }
 
 /// The last digest that the sender had from the receiver.
@@ -94,7 +97,7 @@
     /// Operations a second that the sender is asked for, by workspace.
     pub demands: Vec<(id::Workspace, f32)>,
     /// Intentions that the sender has acknowledged.
-    pub acknowledged: Vec<(id::Database, id::Revision)>,
+    pub acknowledged: Vec<(id::Database, Release)>,
     /// Intentions that the sender knows.
     pub intentions: Vec<Known>,
     /// Primaries that the sender uses.
@@ -137,10 +140,17 @@
         daemon: &str,
         incarnation: id::Incarnation,
         database: &str,
-    ) -> id::Revision {
+    ) -> Release {
         let peer = self.peers.get(daemon).filter(|it| it.digest.incarnation == incarnation);
         let mut known = peer.into_iter().flat_map(|peer| &peer.digest.acknowledged);
-        known.find(|(name, _)| name == database).map_or(0, |(_, revision)| *revision)
+        known.find(|(name, _)| name == database).map(|(_, release)| *release).unwrap_or_default()
+    }
+
+    /// The newest log position that other daemons saw at a server.
+    #[must_use]
+    pub fn mark(&self, server: &str) -> Option<Mark> {
+        let reaches = self.peers.values().flat_map(|peer| &peer.digest.reaches);
+        reaches.filter(|reach| reach.server == *server).filter_map(|reach| reach.mark).max()
     }
 }
 
@@ -160,7 +170,8 @@
     let peers = &daemon.gossip.peers;
     let mut borrowing = peers.iter().filter(|(_, peer)| now.mono < peer.lent_until);
     borrowing.all(|(name, peer)| {
-        daemon.gossip.acknowledged(name, peer.digest.incarnation, database) >= revision
+        let known = daemon.gossip.acknowledged(name, peer.digest.incarnation, database);
+        known.revision >= revision
     })
 }
 
@@ -181,6 +192,26 @@
     spread
 }
 
+/// The daemons that were listed of late, this one not counted, and how many of them are heard.
+#[must_use]
+pub fn company(daemon: &Daemon, now: Now) -> (usize, usize) {
+    let recent = daemon.follow.recent_members(now).filter(|it| **it != daemon.settings.daemon);
+    let (mut known, mut heard) = (0, 0);
+    for name in recent {
+        known += 1;
+        let peer = daemon.gossip.peers.get(name);
+        heard += usize::from(peer.is_some_and(|peer| now.since(peer.heard) < SILENCE));
+    }
+    (known, heard)
+}
+
+/// Whether most of the daemons that were listed of late are heard.
+#[must_use]
+pub fn in_majority(daemon: &Daemon, now: Now) -> bool {
+    let (known, heard) = company(daemon, now);
+    (heard + 1) * 2 > known + 1
+}
+
 /// How many daemons that are heard reach a primary, and how many do not.
 #[must_use]
 pub fn opinions(daemon: &Daemon, now: Now, server: &id::Server) -> (usize, usize) {
@@ -254,9 +285,10 @@
         let group::Leader::Known(server) = right::leader(daemon, database) else {
             return None;
         };
-        let health = daemon.pools.get(&server)?.health;
+        let pool = daemon.pools.get(&server)?;
+        let health = pool.health;
         let used = health.failing.is_some() || now.since(health.succeeded) < REACHED;
-        used.then_some(Reach { answers: health.failing.is_none(), server })
+        used.then(|| Reach { answers: health.failing.is_none(), mark: pool.mark, server })
     });
     primaries.collect()
 }
@@ -271,7 +303,9 @@
     let peer = daemon.gossip.peers.entry(name.clone()).or_default();
     if peer.heard > Duration::ZERO {
         digest.echo = Some(Echo { sent: peer.digest.sent, held: now.since(peer.heard) });
-        if peer.digest.needs_loan && left > MARGIN && daemon.drain == drain::State::Serving {
+        let fresh = !daemon.lease.overdue(now.mono);
+        if peer.digest.needs_loan && fresh && left > MARGIN && daemon.drain == drain::State::Serving
+        {
             let loan = left.min(LOAN);
             digest.loan = Some(loan);
             peer.lent_until = now.mono + loan;
--- a/crates/gcl-direct/src/group.rs
+++ b/crates/gcl-direct/src/group.rs
@@ -59,6 +59,8 @@
     pub done: id::Revision,
     /// Positions of the primary.
     pub history: History,
+    /// The last server that was known to lead.
+    pub last: Option<id::Server>,
 }
 
 impl Group {
--- a/crates/gcl-direct/src/lease.rs
+++ b/crates/gcl-direct/src/lease.rs
@@ -8,7 +8,7 @@
 
 use crate::store::Written;
 use compact_str::{CompactString, format_compact};
-use gcl_core::{id, store::Lease};
+use gcl_core::{id, mark::Mark, store::Lease};
 use indexmap::IndexMap;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
@@ -20,6 +20,8 @@
 pub const RENEWAL: Duration = Duration::from_millis(1200);
 /// Time before the next try after a failed call.
 pub const RETRY: Duration = Duration::from_millis(400);
+/// Age of the last renewal at which the store is taken to be out of reach.
+const OVERDUE: Duration = Duration::from_millis(2500);
 /// What the right ends before the lease, for the way of an answer through the daemon.
 const MARGIN: Duration = Duration::from_millis(150);
 
@@ -33,9 +35,17 @@
     pub incarnation: id::Incarnation,
     /// Where it hears other daemons, `ip:port`.
     pub address: CompactString,
-    /// The revision of the last intention for each database after which it uses the old primary no
-    /// more.
-    pub acknowledged: IndexMap<id::Database, id::Revision>,
+    /// What it has acknowledged for each database.
+    pub acknowledged: IndexMap<id::Database, Release>,
+}
+
+/// A daemon's word that it uses no primary that an intention supersedes.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Release {
+    /// The intention's revision.
+    pub revision: id::Revision,
+    /// The newest log position that the daemon saw at the old primary.
+    pub mark: Option<Mark>,
 }
 
 /// The key of a daemon.
@@ -94,7 +104,13 @@
         }
     }
 
-    /// Whether this daemon may use the primaries it knows.
+    /// Whether a renewal is overdue, as when the store is away.
+    #[must_use]
+    pub fn overdue(&self, now: Duration) -> bool {
+        now.saturating_sub(self.since) > OVERDUE
+    }
+
+    /// Whether the lease certainly holds.
     #[must_use]
     pub fn holds(&self, now: Duration) -> bool {
         now < self.until()
--- a/crates/gcl-direct/src/member.rs
+++ b/crates/gcl-direct/src/member.rs
@@ -3,7 +3,7 @@
 use crate::{
     effect::Effects,
     gossip,
-    lease::{self, RENEWAL, RETRY, Stage, TIME},
+    lease::{self, RENEWAL, RETRY, Release, Stage, TIME},
     line::Line,
     right,
     state::State as Daemon,
@@ -186,10 +186,11 @@
     now: Now,
     fx: &mut Effects,
     database: &id::Database,
-    revision: id::Revision,
+    release: Release,
 ) {
-    let known = daemon.lease.record.acknowledged.insert(database.clone(), revision);
-    if known != Some(revision) {
+    let known = daemon.lease.record.acknowledged.get(database).map(|known| known.revision);
+    if known != Some(release.revision) {
+        daemon.lease.record.acknowledged.insert(database.clone(), release);
         gossip::nudge(daemon, now);
         write(daemon, fx);
     }
--- a/crates/gcl-direct/src/pool.rs
+++ b/crates/gcl-direct/src/pool.rs
@@ -29,6 +29,8 @@
 const LATENCY_FIRST: Duration = Duration::from_millis(25);
 /// Weight of a new measurement, as a divisor.
 const LATENCY_WEIGHT: u32 = 8;
+/// Shortest time between two questions for a server's log position.
+const ASK_PAUSE: Duration = Duration::from_millis(120);
 /// Most shares that one daemon may hold.
 const MOST_SHARES: usize = 3;
 /// Connections that are left unused for questions about a server's state.
@@ -43,6 +45,8 @@
     pub failures: u32,
     /// When something last succeeded.
     pub succeeded: Duration,
+    /// Whether the server's host itself said so when something last failed.
+    pub refused: bool,
 }
 
 /// The connections to one server.
@@ -64,8 +68,12 @@
     pub health: Health,
     /// Until when reads that need a recent log go elsewhere.
     pub behind_until: Duration,
-    /// The newest log position that the server reported.
+    /// The newest log position that the server answered with.
     pub mark: Option<Mark>,
+    /// The newest log position that it has received, when it was last asked.
+    pub received: Option<Mark>,
+    /// When it was last asked for that.
+    pub asked: Duration,
 }
 
 impl Default for Pool {
@@ -80,6 +88,8 @@
             health: Health::default(),
             behind_until: Duration::ZERO,
             mark: None,
+            received: None,
+            asked: Duration::ZERO,
         }
     }
 }
@@ -93,11 +103,12 @@
 
     /// Takes note that the server did something.
     pub const fn on_success(&mut self, now: Now) {
-        self.health = Health { failing: None, failures: 0, succeeded: now.mono };
+        self.health = Health { failing: None, failures: 0, succeeded: now.mono, refused: false };
     }
 
-    /// Takes note that the server could not be reached, or fell silent.
-    pub fn on_failure(&mut self, now: Now) {
+    /// Takes note that the server could not be reached; `answered` tells whether its host said so.
+    pub fn on_failure(&mut self, now: Now, answered: bool) {
+        self.health.refused = answered;
         self.health.failing.get_or_insert(now.mono);
         self.health.failures += 1;
         self.failed_until = now.mono + FAILED_PAUSE;
@@ -292,6 +303,27 @@
     }
 }
 
+/// Asks a server for the log position that it has received, unless it was asked just now.
+pub fn ask(daemon: &mut Daemon, now: Now, fx: &mut Effects, server: &id::Server) {
+    let pool = daemon.pools.entry(server.clone()).or_default();
+    if now.since(pool.asked) < ASK_PAUSE {
+        return;
+    }
+    pool.asked = now.mono;
+    let idle = pool.connections.iter().find(|name| {
+        let known = daemon.connections.get(*name);
+        known.is_some_and(|known| known.is_idle() && !known.in_transaction)
+    });
+    match idle.copied() {
+        Some(idle) => send(daemon, now, fx, idle, Step::Report, Command::Report),
+        None if now.mono >= pool.failed_until && pool.connections.is_empty() => {
+            let nobody = daemon.nobody.clone();
+            open(daemon, now, fx, server, &nobody);
+        }
+        None => {}
+    }
+}
+
 /// Takes a connection back from its session, and rolls back what is open on it.
 pub fn release(daemon: &mut Daemon, now: Now, fx: &mut Effects, connection: id::Connection) {
     let Some(known) = daemon.connections.get_mut(&connection) else {
--- a/crates/gcl-direct/src/reduce.rs
+++ b/crates/gcl-direct/src/reduce.rs
@@ -79,15 +79,15 @@
         Backend::Opened(_) => pool::on_opened(state, now, fx, connection),
         Backend::Refused(refusal) => pool::on_refused(state, now, fx, connection, &refusal),
         Backend::Answered(answer) => on_answered(state, now, fx, connection, answer),
-        Backend::Closed(reason) => {
+        Backend::Closed { reason, answered } => {
             let server = state.connections.get(&connection).map(|known| known.server.clone());
             let Some(server) = server else {
                 return;
             };
             let line = Line::failure("connection ended").with("server", &server);
-            fx.log(line.with("reason", &reason));
+            fx.log(line.with("reason", &reason).with("answered", answered));
             if let Some(pool) = state.pools.get_mut(&server) {
-                pool.on_failure(now);
+                pool.on_failure(now, answered);
             }
             request::on_closed(state, now, fx, connection, &reason);
             pool::strand(state, now, fx, &server);
@@ -116,13 +116,17 @@
     known.in_transaction = answer.status != Status::Idle;
     let (session, server) = (known.session, known.server.clone());
     if let Some(pool) = state.pools.get_mut(&server) {
-        pool.mark = answer.mark.or(pool.mark);
+        pool.mark = answer.mark.max(pool.mark);
+        pool.received = answer.report.map(|report| report.received).or(pool.received);
         if step == Step::Statement {
             pool.on_latency(now, now.since(sent));
         } else {
             pool.on_success(now);
         }
     }
+    if step == Step::Report {
+        failover::on_report(state, now, &server);
+    }
     match (step, session) {
         (Step::Statement, Some(session)) => {
             request::on_answer(state, now, fx, session, (connection, sent), answer);
--- a/crates/gcl-direct/src/request.rs
+++ b/crates/gcl-direct/src/request.rs
@@ -702,7 +702,7 @@
             if let Some(pool) = pool
                 && pool.health.succeeded + request.route.timeout <= now.mono
             {
-                pool.on_failure(now);
+                pool.on_failure(now, false);
             }
             on_timeout(daemon, now, fx, session, connection);
         }
--- a/crates/gcl-direct/src/right.rs
+++ b/crates/gcl-direct/src/right.rs
@@ -1,6 +1,7 @@
 //! Whether this daemon may use a database's primary now.
 
 use crate::{
+    gossip,
     group::{self, Leader},
     state::State as Daemon,
 };
@@ -26,9 +27,15 @@
 }
 
 /// Whether this daemon may use the primaries it knows: by its own lease, or by a loan of a peer's.
+///
+/// Once the lease is overdue, the daemon must also hear most of the others. A daemon that is cut off
+/// together with a primary would else acknowledge commits that no other server receives, and that
+/// are lost when the others move the primary.
 #[must_use]
 pub fn holds(daemon: &Daemon, now: Now) -> bool {
-    now.mono < until(daemon)
+    let lease = daemon.lease.holds(now.mono)
+        && (!daemon.lease.overdue(now.mono) || gossip::in_majority(daemon, now));
+    lease || now.mono < daemon.gossip.loan_until()
 }
 
 /// When the right ends unless it is renewed.
