feat(limit): count operations over a sliding window

Ruled out: the parts themselves; they add up to the whole. Change: operations are counted over the window, and each daemon's part follows what it was asked within it; fast growth is told at once.

--- a/crates/gcl-direct/src/gossip.rs
+++ b/crates/gcl-direct/src/gossip.rs
@@ -33,6 +33,8 @@
 const PERIOD: Duration = Duration::from_millis(700);
 /// Time between digests while this daemon needs a loan.
 const NEED_PERIOD: Duration = Duration::from_millis(300);
+/// Shortest time between digests that tell of growing demand.
+const HURRY: Duration = Duration::from_millis(120);
 /// Silence after which a daemon is not heard.
 const SILENCE: Duration = Duration::from_millis(2500);
 /// Longest loan of the right to use primaries.
@@ -94,8 +96,8 @@
     pub loan: Option<Duration>,
     /// Whether the sender asks for a loan.
     pub needs_loan: bool,
-    /// Operations a second that the sender is asked for, by workspace.
-    pub demands: Vec<(id::Workspace, f32)>,
+    /// What the sender is asked for, by workspace: operations within the window, and a second.
+    pub demands: Vec<(id::Workspace, f32, f32)>,
     /// Intentions that the sender has acknowledged.
     pub acknowledged: Vec<(id::Database, Release)>,
     /// Intentions that the sender knows.
@@ -117,6 +119,7 @@
 pub struct State {
     peers: IndexMap<id::Daemon, Peer>,
     loan_until: Duration,
+    told: Duration,
     turn: usize,
 }
 
@@ -178,16 +181,17 @@
 /// How the daemons share a workspace's rate.
 #[must_use]
 pub fn spread(daemon: &Daemon, now: Now, workspace: &id::Workspace) -> limit::Spread {
-    let own = daemon.limit.demand(now.mono, workspace);
-    let mut spread =
-        limit::Spread { members: daemon.members.len().max(1), heard: 1, asked: own, own };
-    for (name, digest) in daemon.gossip.heard(now) {
-        if !daemon.members.contains_key(name) {
+    let mut spread = limit::Spread { members: daemon.members.len().max(1), heard: 1, others: 0.0 };
+    for (name, peer) in &daemon.gossip.peers {
+        let age = now.since(peer.heard);
+        if age >= SILENCE || !daemon.members.contains_key(name) {
             continue;
         }
         spread.heard += 1;
-        let demand = digest.demands.iter().find(|(name, _)| name == workspace);
-        spread.asked += demand.map_or(0.0, |(_, rate)| f64::from(*rate));
+        let demand = peer.digest.demands.iter().find(|(name, ..)| name == workspace);
+        if let Some((_, asked, pace)) = demand {
+            spread.others += f64::from(*pace).mul_add(age.as_secs_f64(), f64::from(*asked));
+        }
     }
     spread
 }
@@ -226,6 +230,12 @@
     daemon.timers.arm(timer::Key::Gossip, now.mono + PERIOD);
 }
 
+/// Tells other daemons soon, since callers ask for much more than before.
+pub fn hurry(daemon: &mut Daemon, now: Now) {
+    let due = (daemon.gossip.told + HURRY).max(now.mono);
+    daemon.timers.arm_by(timer::Key::Gossip, due);
+}
+
 /// Tells other daemons at once, since something changed that they wait for.
 pub fn nudge(daemon: &mut Daemon, now: Now) {
     daemon.timers.arm_by(timer::Key::Gossip, now.mono);
@@ -237,6 +247,7 @@
     daemon.timers.arm(timer::Key::Gossip, now.mono + period);
     let others: Vec<_> =
         daemon.members.keys().filter(|name| **name != daemon.settings.daemon).cloned().collect();
+    daemon.gossip.told = now.mono;
     let count = others.len().min(MOST_RECEIVERS);
     let digest = digest(daemon, now);
     for step in 0..count {
@@ -253,9 +264,11 @@
 }
 
 /// What this daemon believes, for any receiver.
-fn digest(daemon: &Daemon, now: Now) -> Digest {
+fn digest(daemon: &mut Daemon, now: Now) -> Digest {
+    let demands = daemon.limit.demands(now.mono, &daemon.settings.bounds);
     #[expect(clippy::cast_possible_truncation, reason = "a rate needs no more digits")]
-    let demands = daemon.limit.demands(now.mono).map(|(name, rate)| (name.clone(), rate as f32));
+    let demands = demands.map(|(name, it)| (name.clone(), it.asked as f32, it.pace as f32));
+    let demands = demands.collect();
     let acknowledged = &daemon.lease.record.acknowledged;
     let intentions = daemon.groups.iter().filter_map(|(database, group)| {
         let moved = group.moved.as_ref()?;
@@ -273,7 +286,7 @@
         echo: None,
         loan: None,
         needs_loan: needs_loan(daemon, now),
-        demands: demands.collect(),
+        demands,
         acknowledged: acknowledged.iter().map(|(name, at)| (name.clone(), *at)).collect(),
         intentions: intentions.collect(),
         reaches: reaches(daemon, now),
--- a/crates/gcl-direct/src/limit.rs
+++ b/crates/gcl-direct/src/limit.rs
@@ -1,13 +1,15 @@
-//! Rates of workspaces: operations a second, and how many may come at once, over all daemons.
+//! Rates of workspaces: operations within a sliding window, over all daemons.
 //!
-//! Each daemon grants a part of the rate and of the burst, and the parts add up to the whole. A part
-//! follows what the daemon's callers ask for: each daemon gets what it is asked, and an equal part of
-//! what nobody asks for; when more is asked than there is, all are cut alike. Daemons tell each other
-//! what they are asked ([`crate::gossip`]). An equal part is set aside for each daemon that is listed
-//! and not heard, since that is what a daemon grants that hears nobody.
+//! A workspace may use its rate over the whole window and its burst besides. Each daemon grants a
+//! part of that, and the parts add up to the whole. A part follows what the daemon's callers asked
+//! for within the window: each daemon gets what it is asked, and an equal part of what nobody asks
+//! for; when more is asked than there is, all are cut alike. As asks leave the window of one daemon
+//! at the pace at which they enter that of another, the sum also holds while callers move. Daemons
+//! tell each other what they are asked ([`crate::gossip`]). An equal part is set aside for each
+//! daemon that is listed and not heard, since that is what a daemon grants that hears nobody.
 //!
-//! The load it answers: callers spread unevenly over daemons, and a workspace that sends many times
-//! its rate.
+//! The load it answers: callers spread unevenly over daemons, a workspace that sends many times its
+//! rate, and a limit that is put far below what a workspace sends.
 
 use crate::{
     config::{Config, Workspace},
@@ -19,56 +21,60 @@
 
 /// Part of the tolerated excess that is given out; the rest covers the time until daemons hear of
 /// each other's callers.
-const EXCESS_USED: f64 = 0.4;
-/// Time over which what callers ask for is averaged.
-const DEMAND_WINDOW: Duration = Duration::from_millis(600);
+const EXCESS_USED: f64 = 0.45;
+/// Parts into which the window is divided. One more is kept, so that an ask never counts for less
+/// than the window.
+const SLICES: usize = 25;
 /// Shortest time after which a refused caller is told to come back.
 const RETRY_LEAST: Duration = Duration::from_millis(20);
-
-/// What one daemon has granted of one workspace's rate.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-struct Account {
-    level: f64,
-    earned: Duration,
-    demand: Demand,
-}
-
-/// Operations a second that callers ask for.
-#[derive(Clone, Copy, Debug, Default, PartialEq)]
-struct Demand {
-    window: Duration,
-    count: f64,
-    before: f64,
+/// Growth of what is asked, as part of the whole, that other daemons are told at once.
+const GROWTH_TOLD: f64 = 0.02;
+/// Part of the whole above which they are.
+const GROWTH_MATTERS: f64 = 0.5;
+
+/// Counts of the last slices of time.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+struct Ring {
+    slices: [u32; SLICES + 1],
+    slice: u64,
+    sum: u32,
 }
 
-impl Demand {
-    fn roll(&mut self, now: Duration) {
-        let passed = now.saturating_sub(self.window);
-        if passed >= DEMAND_WINDOW {
-            self.before = if passed < DEMAND_WINDOW * 2 { self.count } else { 0.0 };
-            self.count = 0.0;
-            self.window = now;
+impl Ring {
+    /// Drops what has left the window by `slice`.
+    fn advance(&mut self, slice: u64) {
+        let passed = slice.saturating_sub(self.slice).min(SLICES as u64 + 1);
+        for step in 1..=passed {
+            let oldest = self.slot(slice - passed + step);
+            self.sum -= std::mem::take(&mut self.slices[oldest]);
         }
+        self.slice = self.slice.max(slice);
     }
 
-    fn rate(mut self, now: Duration) -> f64 {
-        self.roll(now);
-        let passed = now.saturating_sub(self.window).as_secs_f64() / DEMAND_WINDOW.as_secs_f64();
-        self.before.mul_add(1.0 - passed, self.count) / DEMAND_WINDOW.as_secs_f64()
+    fn add(&mut self) {
+        let slot = self.slot(self.slice);
+        self.slices[slot] += 1;
+        self.sum += 1;
+    }
+
+    /// The last two slices, as a rate for each slice.
+    fn pace(&self) -> f64 {
+        let before = self.slices[self.slot(self.slice.saturating_sub(1))];
+        let earlier = self.slices[self.slot(self.slice.saturating_sub(2))];
+        f64::from(before + earlier) / 2.0
+    }
+
+    fn slot(&self, slice: u64) -> usize {
+        usize::try_from(slice % self.slices.len() as u64).unwrap_or(0)
     }
 }
 
-/// How the daemons share a workspace's rate.
-#[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Spread {
-    /// Daemons that are listed, this one included.
-    pub members: usize,
-    /// Those of them that are heard, this one included.
-    pub heard: usize,
-    /// Operations a second that the daemons that are heard are asked for, this one included.
-    pub asked: f64,
-    /// Operations a second that this daemon is asked for.
-    pub own: f64,
+/// What one daemon was asked and has granted of one workspace's rate.
+#[derive(Clone, Debug, Default, PartialEq)]
+struct Account {
+    asked: Ring,
+    granted: Ring,
+    told: u32,
 }
 
 /// The accounts of a daemon.
@@ -77,27 +83,43 @@
     accounts: IndexMap<id::Workspace, Account>,
 }
 
-/// This daemon's part of a workspace's rate.
+/// What callers ask a daemon for.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Demand {
+    /// Operations within the window.
+    pub asked: f64,
+    /// Operations a second of late.
+    pub pace: f64,
+}
+
+/// How the daemons share a workspace's rate.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct Part {
-    /// Operations a second.
-    pub rate: f64,
-    /// Operations that may come at once.
-    pub burst: f64,
+pub struct Spread {
+    /// Daemons that are listed, this one included.
+    pub members: usize,
+    /// Those of them that are heard, this one included.
+    pub heard: usize,
+    /// Operations within the window that the others are asked for that are heard.
+    pub others: f64,
 }
 
-/// This daemon's part of a workspace's rate.
+/// Operations within the window that a workspace may use over all daemons.
 #[must_use]
-pub fn part(workspace: Workspace, bounds: &Bounds, spread: Spread) -> Part {
-    let members = count(spread.members);
-    let heard = count(spread.heard.min(spread.members));
-    let excess = bounds.rate_excess * EXCESS_USED;
-    let whole = workspace.rate * (1.0 + excess) * heard / members;
-    let idle = (whole - spread.asked).max(0.0);
-    let cut = (whole / spread.asked.max(f64::MIN_POSITIVE)).min(1.0);
-    let rate = spread.own.mul_add(cut, idle / heard);
-    let burst = workspace.burst * (1.0 + excess) + bounds.rate_slack * EXCESS_USED;
-    Part { rate, burst: burst * rate / (workspace.rate * (1.0 + excess)).max(f64::MIN_POSITIVE) }
+pub fn whole(workspace: Workspace, bounds: &Bounds) -> f64 {
+    let plain = workspace.rate.mul_add(bounds.rate_window.as_secs_f64(), workspace.burst);
+    plain.mul_add(1.0 + bounds.rate_excess * EXCESS_USED, bounds.rate_slack * EXCESS_USED)
+}
+
+/// Operations within the window that this daemon may grant, when it is asked for `own`.
+#[must_use]
+pub fn part(whole: f64, spread: Spread, own: f64) -> f64 {
+    let (members, heard) = (count(spread.members), count(spread.heard.min(spread.members)));
+    let heard_whole = whole * heard / members;
+    let asked = own + spread.others;
+    if asked <= heard_whole {
+        return own + (heard_whole - asked) / heard;
+    }
+    heard_whole * own / asked
 }
 
 #[expect(clippy::cast_precision_loss, reason = "a fleet has far fewer daemons than 2^52")]
@@ -105,59 +127,70 @@
     daemons.max(1) as f64
 }
 
+/// The outcome of an operation that may be over its workspace's rate; the time to come back.
+pub type Result = std::result::Result<(), Duration>;
+
 impl State {
     /// The accounts that are left under a new configuration.
     #[must_use]
     pub fn follow(&self, config: &Config) -> Self {
         let known = |name: &id::Workspace| config.workspaces.contains_key(name);
         let accounts = self.accounts.iter().filter(|(name, _)| known(name));
-        Self { accounts: accounts.map(|(name, account)| (name.clone(), *account)).collect() }
+        Self { accounts: accounts.map(|(name, account)| (name.clone(), account.clone())).collect() }
     }
 
-    /// Counts an operation that a caller asks for.
-    pub fn ask(&mut self, now: Duration, workspace: &id::Workspace) {
-        if let Some(account) = self.accounts.get_mut(workspace) {
-            account.demand.roll(now);
-            account.demand.count += 1.0;
-        }
-    }
-
-    /// Operations a second that callers ask for, by workspace, where there are any.
-    pub fn demands(&self, now: Duration) -> impl Iterator<Item = (&id::Workspace, f64)> {
-        let demands = self.accounts.iter().map(move |(name, it)| (name, it.demand.rate(now)));
-        demands.filter(|(_, rate)| *rate > 0.0)
-    }
-
-    /// Operations a second that callers of a workspace ask for.
-    #[must_use]
-    pub fn demand(&self, now: Duration, workspace: &str) -> f64 {
-        self.accounts.get(workspace).map_or(0.0, |account| account.demand.rate(now))
+    /// What callers ask for, by workspace, where they ask for anything.
+    pub fn demands(
+        &mut self,
+        now: Duration,
+        bounds: &Bounds,
+    ) -> impl Iterator<Item = (&id::Workspace, Demand)> {
+        let slice = slice(now, bounds);
+        let width = bounds.rate_window.as_secs_f64() / SLICES as f64;
+        let asked = self.accounts.iter_mut().filter_map(move |(name, account)| {
+            account.asked.advance(slice);
+            account.told = account.asked.sum;
+            let asked = f64::from(account.asked.sum);
+            let demand = Demand { asked, pace: account.asked.pace() / width };
+            (asked > 0.0).then_some((name, demand))
+        });
+        asked
     }
 
-    /// Takes one operation from a workspace's part.
+    /// Takes one operation of a workspace; the second value tells whether other daemons should hear
+    /// of what is asked at once.
     ///
     /// # Errors
-    /// The time after which there is one, when there is none now.
+    /// The time after which there may be one, when this daemon's part is used up.
     pub fn take(
         &mut self,
         now: Duration,
+        bounds: &Bounds,
         workspace: &id::Workspace,
-        part: Part,
-    ) -> std::result::Result<(), Duration> {
-        let account = self.accounts.entry(workspace.clone()).or_insert(Account {
-            level: part.burst,
-            earned: now,
-            ..Account::default()
-        });
-        let passed = now.saturating_sub(account.earned).as_secs_f64();
-        account.level = (account.level + passed * part.rate).min(part.burst);
-        account.earned = now;
-        if account.level >= 1.0 {
-            account.level -= 1.0;
-            return Ok(());
+        whole: f64,
+        spread: Spread,
+    ) -> (Result, bool) {
+        let slice = slice(now, bounds);
+        let account = self.accounts.entry(workspace.clone()).or_default();
+        account.asked.advance(slice);
+        account.granted.advance(slice);
+        account.asked.add();
+        let own = f64::from(account.asked.sum);
+        let grown = f64::from(account.asked.sum.saturating_sub(account.told));
+        let tell = own + spread.others > whole * GROWTH_MATTERS && grown > whole * GROWTH_TOLD;
+        let part = part(whole, spread, own);
+        if f64::from(account.granted.sum) + 1.0 <= part {
+            account.granted.add();
+            return (Ok(()), tell);
         }
-        let missing = (1.0 - account.level) / part.rate.max(f64::MIN_POSITIVE);
-        let wait = Duration::try_from_secs_f64(missing).unwrap_or(Duration::MAX);
-        Err(wait.max(RETRY_LEAST))
+        // Grants leave the window at the pace at which this part is used.
+        let pace = part.max(1.0) / bounds.rate_window.as_secs_f64().max(f64::MIN_POSITIVE);
+        let wait = Duration::try_from_secs_f64(1.0 / pace).unwrap_or(bounds.rate_window);
+        (Err(wait.clamp(RETRY_LEAST, bounds.rate_window)), tell)
     }
 }
+
+fn slice(now: Duration, bounds: &Bounds) -> u64 {
+    let width = (bounds.rate_window.as_millis() / SLICES as u128).max(1);
+    u64::try_from(now.as_millis() / width).unwrap_or(u64::MAX)
+}
--- a/crates/gcl-direct/src/request.rs
+++ b/crates/gcl-direct/src/request.rs
@@ -120,9 +120,12 @@
     let workspace = config.and_then(|config| config.workspaces.get(&entry.workspace));
     if let (false, Some(workspace)) = (route.public, workspace) {
         let spread = gossip::spread(daemon, now, &entry.workspace);
-        let part = limit::part(*workspace, &daemon.settings.bounds, spread);
-        let taken = daemon.limit.take(now.mono, &entry.workspace, part);
-        daemon.limit.ask(now.mono, &entry.workspace);
+        let bounds = &daemon.settings.bounds;
+        let whole = limit::whole(*workspace, bounds);
+        let (taken, tell) = daemon.limit.take(now.mono, bounds, &entry.workspace, whole, spread);
+        if tell {
+            gossip::hurry(daemon, now);
+        }
         if let Err(wait) = taken {
             let fault = Fault::new(Code::RateLimited, "the workspace is over its rate");
             return Err(fault.retry_after(wait));
