feat(direct): keep half of a server's connections free; grant at an even pace

Ruled out: the start itself; a daemon is ready 50 ms after it began. Change: half of a server's connections are shared out; grants of a second are bounded to a quarter of the window's, and a new life's window opens with its age; digests go out at once after a start.

--- a/crates/gcl-direct/src/gossip.rs
+++ b/crates/gcl-direct/src/gossip.rs
@@ -227,7 +227,7 @@
 
 /// Begins to tell other daemons.
 pub fn start(daemon: &mut Daemon, now: Now) {
-    daemon.timers.arm(timer::Key::Gossip, now.mono + PERIOD);
+    daemon.timers.arm(timer::Key::Gossip, now.mono + HURRY);
 }
 
 /// Tells other daemons soon, since callers ask for much more than before.
@@ -342,7 +342,9 @@
     }
     if reborn {
         peer.lent_until = Duration::ZERO;
+        hurry(daemon, now);
     }
+    let peer = daemon.gossip.peers.entry(from.clone()).or_default();
     (peer.heard, peer.digest) = (now.mono, digest.clone());
     for known in &digest.intentions {
         failover::on_told(daemon, now, fx, known);
--- a/crates/gcl-direct/src/limit.rs
+++ b/crates/gcl-direct/src/limit.rs
@@ -25,6 +25,12 @@
 /// Parts into which the window is divided. One more is kept, so that an ask never counts for less
 /// than the window.
 const SLICES: usize = 25;
+/// Slices over which the pace of grants is bounded.
+const PACE_SLICES: u64 = 5;
+/// Part of what a daemon may grant within the window that it may grant within those slices: a
+/// quarter more than an even pace. A workspace that is over its rate is so served evenly, and a
+/// fleet that starts again and has forgotten what it granted cannot grant it all twice.
+const PACE: f64 = 0.25;
 /// Shortest time after which a refused caller is told to come back.
 const RETRY_LEAST: Duration = Duration::from_millis(20);
 /// Growth of what is asked, as part of the whole, that other daemons are told at once.
@@ -57,6 +63,12 @@
         self.sum += 1;
     }
 
+    /// What the current slice and those before it hold.
+    fn recent(&self, slices: u64) -> u32 {
+        let first = self.slice.saturating_sub(slices.saturating_sub(1));
+        (first..=self.slice).map(|slice| self.slices[self.slot(slice)]).sum()
+    }
+
     /// The last two slices, as a rate for each slice.
     fn pace(&self) -> f64 {
         let before = self.slices[self.slot(self.slice.saturating_sub(1))];
@@ -179,7 +191,11 @@
         let grown = f64::from(account.asked.sum.saturating_sub(account.told));
         let tell = own + spread.others > whole * GROWTH_MATTERS && grown > whole * GROWTH_TOLD;
         let part = part(whole, spread, own);
-        if f64::from(account.granted.sum) + 1.0 <= part {
+        // What an earlier life granted is not known: the window opens as time passes.
+        let known =
+            (now.as_secs_f64() / bounds.rate_window.as_secs_f64().max(f64::MIN_POSITIVE)).min(1.0);
+        let recent = f64::from(account.granted.recent(PACE_SLICES));
+        if f64::from(account.granted.sum) < part * known && recent < (part * PACE).max(1.0) {
             account.granted.add();
             return (Ok(()), tell);
         }
--- a/crates/gcl-direct/src/member.rs
+++ b/crates/gcl-direct/src/member.rs
@@ -136,6 +136,7 @@
             let left = daemon.lease.until().saturating_sub(now.mono);
             let line = Line::belief("right gained").with("lease", daemon.lease.lease);
             fx.log(line.with("revision", revision).millis("left", left));
+            gossip::nudge(daemon, now);
             arm(daemon, now, RENEWAL);
         }
         Stage::Writing => write(daemon, fx),
--- a/crates/gcl-direct/src/pool.rs
+++ b/crates/gcl-direct/src/pool.rs
@@ -1,8 +1,8 @@
 //! Connections to one backend server, and the statements that wait for one.
 //!
 //! All daemons together may hold only so many connections to a server. Each may hold an equal share
-//! at any time, and more while the server accepts more; what exceeds the share is closed as soon as
-//! it has rested for a moment. A connection carries one workspace, so where a workspace has none, an
+//! of half of them at any time, and more while the server accepts more; what exceeds the share is
+//! closed as soon as it has rested for a moment. A connection carries one workspace, so where a workspace has none, an
 //! idle one of another workspace makes room.
 
 use crate::{
@@ -32,9 +32,11 @@
 /// Shortest time between two questions for a server's log position.
 const ASK_PAUSE: Duration = Duration::from_millis(120);
 /// Most shares that one daemon may hold.
-const MOST_SHARES: usize = 3;
-/// Connections that are left unused for questions about a server's state.
-const SPARE: usize = 1;
+const MOST_SHARES: usize = 4;
+/// Part of a server's connections that is shared out, as a divisor. The rest is for daemons that
+/// need more for a moment, and for a fleet that starts again while the server still holds the
+/// connections of its earlier life.
+const SHARED_PART: usize = 2;
 
 /// What this daemon knows of the way to a server.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -122,7 +124,7 @@
 /// Connections that this daemon may hold to a server at any time.
 #[must_use]
 pub fn share(connections: usize, members: usize) -> usize {
-    (connections.saturating_sub(SPARE) / members.max(1)).max(1)
+    (connections / SHARED_PART / members.max(1)).max(1)
 }
 
 /// The share of this daemon for a server.
