--- a/crates/gcl-direct/src/drain.rs
+++ b/crates/gcl-direct/src/drain.rs
@@ -55,10 +55,8 @@
 
 /// Closes a session that comes to rest while the daemon drains.
 pub fn on_answered(daemon: &mut Daemon, now: Now, fx: &mut Effects, session: id::Session) {
-    let idle = daemon.sessions.get(&session).is_some_and(session::Session::is_idle);
-    if idle && closing(daemon, now) {
-        fx.hang_up(session);
-        session::forget(daemon, now, fx, session);
+    if closing(daemon, now) {
+        session::release_idle(daemon, now, fx, session);
     }
 }
 
--- a/crates/gcl-direct/src/follow.rs
+++ b/crates/gcl-direct/src/follow.rs
@@ -24,11 +24,14 @@
 
 /// Mean pause before a failed call is made again.
 const RETRY: Duration = Duration::from_millis(500);
+/// Pause between watches of the daemons' own keys: each change there ends the watch of every daemon,
+/// and what is urgent about them is told by digests.
+const OWN_PAUSE: Duration = Duration::from_secs(2);
 /// How long a lapsed entry is kept after the store was away: servers are back within two seconds.
 const LAPSED_KEPT: Duration = Duration::from_millis(2500);
 
 /// How long a daemon counts that is no longer listed.
-const RECENT: Duration = Duration::from_secs(12);
+pub const RECENT: Duration = Duration::from_secs(12);
 
 /// How one topic is followed.
 #[derive(Clone, Copy, Debug, Default)]
@@ -146,8 +149,10 @@
             }
             known.revision = revision.max(known.revision);
             known.read = true;
-            if !whole || first {
+            if first || (!whole && topic != Topic::Own) {
                 fx.store(Call::Watch(topic, known.revision));
+            } else if !whole {
+                daemon.timers.arm(timer::Key::Store(topic), now.mono + OWN_PAUSE);
             }
             apply(daemon, now, fx, contents, whole);
             if whole && topic == Topic::Own {
--- a/crates/gcl-direct/src/gossip.rs
+++ b/crates/gcl-direct/src/gossip.rs
@@ -16,6 +16,7 @@
     drain,
     effect::{Effect, Effects},
     failover,
+    follow::RECENT,
     group::{self, Intention},
     lease::Release,
     limit,
@@ -24,8 +25,9 @@
     state::State as Daemon,
     timer,
 };
+use compact_str::CompactString;
 use gcl_core::{id, mark::Mark, time::Now};
-use indexmap::IndexMap;
+use indexmap::{IndexMap, IndexSet};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -86,6 +88,8 @@
 pub struct Digest {
     /// The sender.
     pub from: id::Daemon,
+    /// Where the sender hears, `ip:port`.
+    pub address: CompactString,
     /// The sender's life.
     pub incarnation: id::Incarnation,
     /// When it was sent, on the sender's clock.
@@ -184,10 +188,12 @@
     let mut spread = limit::Spread { members: daemon.members.len().max(1), heard: 1, others: 0.0 };
     for (name, peer) in &daemon.gossip.peers {
         let age = now.since(peer.heard);
-        if age >= SILENCE || !daemon.members.contains_key(name) {
+        if age >= SILENCE {
             continue;
         }
         spread.heard += 1;
+        // A daemon that the store turns away serves on a loan, though it is no longer listed.
+        spread.members += usize::from(!daemon.members.contains_key(name));
         let demand = peer.digest.demands.iter().find(|(name, ..)| name == workspace);
         if let Some((_, asked, pace)) = demand {
             spread.others += f64::from(*pace).mul_add(age.as_secs_f64(), f64::from(*asked));
@@ -196,17 +202,15 @@
     spread
 }
 
-/// The daemons that were listed of late, this one not counted, and how many of them are heard.
+/// The daemons that were listed or heard of late, this one not counted, and how many of them are
+/// heard.
 #[must_use]
 pub fn company(daemon: &Daemon, now: Now) -> (usize, usize) {
-    let recent = daemon.follow.recent_members(now).filter(|it| **it != daemon.settings.daemon);
-    let (mut known, mut heard) = (0, 0);
-    for name in recent {
-        known += 1;
-        let peer = daemon.gossip.peers.get(name);
-        heard += usize::from(peer.is_some_and(|peer| now.since(peer.heard) < SILENCE));
-    }
-    (known, heard)
+    let told = daemon.gossip.peers.iter().filter(|(_, peer)| now.since(peer.heard) < RECENT);
+    let mut known: IndexSet<_> = daemon.follow.recent_members(now).collect();
+    known.extend(told.map(|(name, _)| name));
+    known.swap_remove(&daemon.settings.daemon);
+    (known.len(), daemon.gossip.heard(now).filter(|(name, _)| known.contains(name)).count())
 }
 
 /// Whether most of the daemons that were listed of late are heard.
@@ -281,6 +285,7 @@
     });
     Digest {
         from: daemon.settings.daemon.clone(),
+        address: daemon.settings.peer_address.clone(),
         incarnation: daemon.incarnation,
         sent: now.mono,
         echo: None,
@@ -308,10 +313,11 @@
 
 /// Sends a digest to a daemon, with what concerns only that one.
 fn tell(daemon: &mut Daemon, now: Now, fx: &mut Effects, name: &id::Daemon, mut digest: Digest) {
-    let Some(member) = daemon.members.get(name) else {
+    let listed = daemon.members.get(name).map(|member| member.record.address.clone());
+    let told = daemon.gossip.peers.get(name).map(|peer| peer.digest.address.clone());
+    let Some(address) = listed.or(told) else {
         return;
     };
-    let address = member.record.address.clone();
     let left = daemon.lease.until().saturating_sub(now.mono);
     let peer = daemon.gossip.peers.entry(name.clone()).or_default();
     if peer.heard > Duration::ZERO {
--- a/crates/gcl-direct/src/reduce.rs
+++ b/crates/gcl-direct/src/reduce.rs
@@ -49,6 +49,9 @@
         let left = right::until(state).saturating_sub(now.mono);
         fx.log(Line::belief("readiness changed").with("ready", ready).millis("lease_left", left));
         fx.push(Effect::Ready(ready));
+        if !ready && state.drain == drain::State::Serving {
+            session::release_all_idle(state, now, fx);
+        }
     }
 }
 
--- a/crates/gcl-direct/src/session.rs
+++ b/crates/gcl-direct/src/session.rs
@@ -10,9 +10,11 @@
     connection::Values,
     drain,
     effect::Effects,
+    lease::Stage,
     line::Line,
     pool,
     request::{self, Request},
+    right,
     state::State as Daemon,
     statement::{Access, Prepared, Query, Statement},
     timer,
@@ -449,9 +451,29 @@
     if let (Transaction::Open(_), Some(limit)) = (&entry.transaction, idle_limit) {
         daemon.timers.arm(timer::Key::Idle(session), now.mono + limit);
     }
+    if !right::holds(daemon, now) && daemon.lease.stage == Stage::Held {
+        release_idle(daemon, now, fx, session);
+    }
     drain::on_answered(daemon, now, fx, session);
 }
 
+/// Closes a session that has nothing under way, so that its caller connects to another daemon.
+pub fn release_idle(daemon: &mut Daemon, now: Now, fx: &mut Effects, session: id::Session) {
+    if daemon.sessions.get(&session).is_some_and(Session::is_idle) {
+        fx.hang_up(session);
+        forget(daemon, now, fx, session);
+    }
+}
+
+/// Closes the sessions that have nothing under way, since this daemon cannot serve them now.
+pub fn release_all_idle(daemon: &mut Daemon, now: Now, fx: &mut Effects) {
+    let sessions: Vec<_> = daemon.sessions.keys().copied().collect();
+    fx.log(Line::belief("idle sessions released").with("sessions", sessions.len()));
+    for session in sessions {
+        release_idle(daemon, now, fx, session);
+    }
+}
+
 /// Rolls back the transaction of a session that rested too long in it.
 pub fn on_idle(daemon: &mut Daemon, now: Now, fx: &mut Effects, session: id::Session) {
     let resting = daemon.sessions.get(&session).is_some_and(|entry| entry.request.is_none());
