fix(direct): leave a full server for a moment; keep sessions where nobody else serves

Change: idle sessions are released only while another daemon says that it serves; reads avoid a server for 100 ms after its queue was full; what does not divide evenly of a server's connections goes to the first ranks.

--- a/crates/gcl-direct/src/gossip.rs
+++ b/crates/gcl-direct/src/gossip.rs
@@ -98,6 +98,8 @@
     pub echo: Option<Echo>,
     /// A loan of the right to use primaries, from [`Echo::sent`] on.
     pub loan: Option<Duration>,
+    /// Whether the sender serves callers.
+    pub ready: bool,
     /// Whether the sender asks for a loan.
     pub needs_loan: bool,
     /// What the sender is asked for, by workspace: operations within the window, and a second.
@@ -213,6 +215,12 @@
     (known.len(), daemon.gossip.heard(now).filter(|(name, _)| known.contains(name)).count())
 }
 
+/// Whether another daemon is heard that serves callers.
+#[must_use]
+pub fn others_serve(daemon: &Daemon, now: Now) -> bool {
+    daemon.gossip.heard(now).any(|(_, digest)| digest.ready)
+}
+
 /// Whether most of the daemons that were listed of late are heard.
 #[must_use]
 pub fn in_majority(daemon: &Daemon, now: Now) -> bool {
@@ -290,6 +298,7 @@
         sent: now.mono,
         echo: None,
         loan: None,
+        ready: daemon.ready,
         needs_loan: needs_loan(daemon, now),
         demands,
         acknowledged: acknowledged.iter().map(|(name, at)| (name.clone(), *at)).collect(),
--- a/crates/gcl-direct/src/pool.rs
+++ b/crates/gcl-direct/src/pool.rs
@@ -15,7 +15,7 @@
     state::State as Daemon,
     timer,
 };
-use gcl_core::{id, mark::Mark, time::Now};
+use gcl_core::{id, mark::Mark, rendezvous, time::Now};
 use indexmap::IndexSet;
 use std::time::Duration;
 
@@ -33,10 +33,10 @@
 const ASK_PAUSE: Duration = Duration::from_millis(120);
 /// Most shares that one daemon may hold.
 const MOST_SHARES: usize = 4;
-/// Part of a server's connections that is shared out, as a divisor. The rest is for daemons that
-/// need more for a moment, and for a fleet that starts again while the server still holds the
-/// connections of its earlier life.
-const SHARED_PART: usize = 2;
+/// Part of a server's connections that is shared out, in percent. The rest is for daemons that need
+/// more for a moment, and for a fleet that starts again while the server still holds the connections
+/// of its earlier life.
+const SHARED_PERCENT: usize = 50;
 
 /// What this daemon knows of the way to a server.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -70,6 +70,8 @@
     pub health: Health,
     /// Until when reads that need a recent log go elsewhere.
     pub behind_until: Duration,
+    /// Until when statements that other servers can run go there, since its queue was full.
+    pub busy_until: Duration,
     /// The newest log position that the server answered with.
     pub mark: Option<Mark>,
     /// The newest log position that it has received, when it was last asked.
@@ -89,6 +91,7 @@
             hold: LATENCY_FIRST,
             health: Health::default(),
             behind_until: Duration::ZERO,
+            busy_until: Duration::ZERO,
             mark: None,
             received: None,
             asked: Duration::ZERO,
@@ -121,18 +124,26 @@
     (old * (LATENCY_WEIGHT - 1) + new) / LATENCY_WEIGHT
 }
 
-/// Connections that this daemon may hold to a server at any time.
+/// Connections that the daemon of a `rank` among `members` may hold to a server at any time.
+///
+/// What does not divide evenly goes to the first ranks; every daemon may hold one.
 #[must_use]
-pub fn share(connections: usize, members: usize) -> usize {
-    (connections / SHARED_PART / members.max(1)).max(1)
+pub fn share(connections: usize, members: usize, rank: usize) -> usize {
+    let shared = connections * SHARED_PERCENT / 100;
+    let members = members.max(1);
+    (shared / members + usize::from(rank < shared % members)).max(1)
 }
 
 /// The share of this daemon for a server.
 fn share_of(daemon: &Daemon, server: &str) -> usize {
     let database = daemon.directory.get(server).map(|entry| &entry.database);
     let config = daemon.config.as_ref();
-    let known = database.and_then(|database| config?.databases.get(database));
-    known.map_or(1, |known| share(known.connections, daemon.members.len()))
+    let Some(known) = database.and_then(|database| config?.databases.get(database)) else {
+        return 1;
+    };
+    let own = rendezvous::weight(server, &daemon.settings.daemon);
+    let before = daemon.members.keys().filter(|name| rendezvous::weight(server, name) > own);
+    share(known.connections, daemon.members.len(), before.count())
 }
 
 /// Queues a session's statement for a connection to a server.
--- a/crates/gcl-direct/src/request.rs
+++ b/crates/gcl-direct/src/request.rs
@@ -45,6 +45,8 @@
 const RETRY_WAIT: Duration = Duration::from_millis(150);
 /// When to come back after a refusal for lack of slots.
 const BUSY_RETRY: Duration = Duration::from_millis(250);
+/// How long reads avoid a server whose queue was full.
+const BUSY_PAUSE: Duration = Duration::from_millis(100);
 /// How long reads avoid a replica that had not reached their position.
 const BEHIND_PAUSE: Duration = Duration::from_millis(60);
 
@@ -232,7 +234,7 @@
     let mut candidates = Vec::new();
     for (server, known) in directory::servers(&daemon.directory, database) {
         let pool = daemon.pools.get(server);
-        let failed = pool.is_some_and(|pool| now.mono < pool.failed_until);
+        let failed = pool.is_some_and(|pool| now.mono < pool.failed_until.max(pool.busy_until));
         let leads = leader.as_ref() == Some(server);
         let behind = !leads && pool.is_some_and(|pool| now.mono < pool.behind_until);
         if known.draining || failed || behind || request.avoided.contains(server) {
@@ -584,10 +586,10 @@
     let line = Line::failure("refused by the server").with("request", &request.query.id);
     let line = line.with("server", server).with("reason", refusal.name());
     fx.log(line.mark("after", request.after).mark("position", entry.mark));
-    if refusal == Refusal::Behind
-        && let Some(pool) = daemon.pools.get_mut(server)
-    {
-        pool.behind_until = now.mono + BEHIND_PAUSE;
+    match (&refusal, daemon.pools.get_mut(server)) {
+        (Refusal::Behind, Some(pool)) => pool.behind_until = now.mono + BEHIND_PAUSE,
+        (Refusal::Busy, Some(pool)) => pool.busy_until = now.mono + BUSY_PAUSE,
+        _ => {}
     }
     if alone && (refusal.not_run() || (reads && !matches!(refusal, Refusal::Malformed(_)))) {
         pool::release(daemon, now, fx, connection);
--- a/crates/gcl-direct/src/session.rs
+++ b/crates/gcl-direct/src/session.rs
@@ -10,7 +10,7 @@
     connection::Values,
     drain,
     effect::Effects,
-    lease::Stage,
+    gossip,
     line::Line,
     pool,
     request::{self, Request},
@@ -451,7 +451,7 @@
     if let (Transaction::Open(_), Some(limit)) = (&entry.transaction, idle_limit) {
         daemon.timers.arm(timer::Key::Idle(session), now.mono + limit);
     }
-    if !right::holds(daemon, now) && daemon.lease.stage == Stage::Held {
+    if !right::holds(daemon, now) && gossip::others_serve(daemon, now) {
         release_idle(daemon, now, fx, session);
     }
     drain::on_answered(daemon, now, fx, session);
@@ -465,8 +465,12 @@
     }
 }
 
-/// Closes the sessions that have nothing under way, since this daemon cannot serve them now.
+/// Closes the sessions that have nothing under way, where others can serve them and this daemon
+/// cannot.
 pub fn release_all_idle(daemon: &mut Daemon, now: Now, fx: &mut Effects) {
+    if !gossip::others_serve(daemon, now) {
+        return;
+    }
     let sessions: Vec<_> = daemon.sessions.keys().copied().collect();
     fx.log(Line::belief("idle sessions released").with("sessions", sessions.len()));
     for session in sessions {
