--- a/crates/gcl-direct/src/failover/evidence.rs
+++ b/crates/gcl-direct/src/failover/evidence.rs
@@ -57,10 +57,9 @@
     #[must_use]
     pub const fn patience(&self) -> Duration {
         match self.cause {
-            Cause::Stalled => Duration::ZERO,
             Cause::Missing => MISSING,
             Cause::Leaving if self.behind => CATCH_UP,
-            Cause::Leaving => Duration::ZERO,
+            Cause::Leaving | Cause::Stalled => Duration::ZERO,
             Cause::Gone | Cause::Silent if self.refused && self.behind => CATCH_UP,
             Cause::Gone | Cause::Silent if self.refused => Duration::ZERO,
             Cause::Gone | Cause::Silent if self.complete && !self.behind => Duration::ZERO,
@@ -69,11 +68,17 @@
     }
 }
 
+/// Whether nothing has succeeded at a server for a while.
+#[must_use]
+pub fn is_failing(health: Health, now: Duration) -> bool {
+    let failing = health.failing.is_some_and(|since| now.saturating_sub(since) >= DOUBT);
+    failing && health.failures >= FAILURES
+}
+
 /// Whether the way to a server shows that it is gone, and not that this daemon is cut off.
 #[must_use]
 pub fn is_silent(health: Health, now: Duration, elsewhere: Duration) -> bool {
-    let failing = health.failing.is_some_and(|since| now.saturating_sub(since) >= DOUBT);
-    failing && health.failures >= FAILURES && now.saturating_sub(elsewhere) < ELSEWHERE
+    is_failing(health, now) && now.saturating_sub(elsewhere) < ELSEWHERE
 }
 
 /// A server that may take over.
--- a/crates/gcl-direct/src/failover/mod.rs
+++ b/crates/gcl-direct/src/failover/mod.rs
@@ -12,7 +12,7 @@
 
 pub use self::{
     attempt::on_promoted,
-    evidence::{Cause, Evidence, Successor, is_silent, successor},
+    evidence::{Cause, Evidence, Successor, is_failing, is_silent, successor},
 };
 
 use self::attempt::{Attempt, advance};
@@ -89,7 +89,7 @@
     let watch = watch_of(daemon, database);
     let Some(cause) = cause else {
         watch.doubt = None;
-        return;
+        return probe(daemon, now, fx, database);
     };
     let since = match watch.doubt {
         Some((known, since)) if known == cause => since,
@@ -107,6 +107,21 @@
     daemon.timers.arm_by(timer::Key::Failover(database.clone()), now.mono + STEP);
 }
 
+/// Asks the other servers of a database whose primary fails, to tell its fault from this daemon's.
+fn probe(daemon: &mut Daemon, now: Now, fx: &mut Effects, database: &id::Database) {
+    let Leader::Known(server) = right::leader(daemon, database) else {
+        return;
+    };
+    let health = daemon.pools.get(&server).map(|pool| pool.health).unwrap_or_default();
+    if !is_failing(health, now.mono) {
+        return;
+    }
+    for candidate in successors(daemon, now, database, &server) {
+        pool::ask(daemon, now, fx, &candidate.server);
+    }
+    daemon.timers.arm_by(timer::Key::Failover(database.clone()), now.mono + STEP);
+}
+
 /// The turn of this daemon among those that may move a primary.
 fn rank(daemon: &Daemon, database: &str) -> u32 {
     let own = rendezvous::weight(database, &daemon.settings.daemon);
--- a/crates/gcl-direct/src/gossip.rs
+++ b/crates/gcl-direct/src/gossip.rs
@@ -187,21 +187,23 @@
 /// How the daemons share a workspace's rate.
 #[must_use]
 pub fn spread(daemon: &Daemon, now: Now, workspace: &id::Workspace) -> limit::Spread {
-    let mut spread = limit::Spread { members: daemon.members.len().max(1), heard: 1, others: 0.0 };
+    let mut others = limit::Demand::default();
+    let (mut members, mut heard) = (daemon.members.len().max(1), 1);
     for (name, peer) in &daemon.gossip.peers {
         let age = now.since(peer.heard);
         if age >= SILENCE {
             continue;
         }
-        spread.heard += 1;
+        heard += 1;
         // A daemon that the store turns away serves on a loan, though it is no longer listed.
-        spread.members += usize::from(!daemon.members.contains_key(name));
+        members += usize::from(!daemon.members.contains_key(name));
         let demand = peer.digest.demands.iter().find(|(name, ..)| name == workspace);
         if let Some((_, asked, pace)) = demand {
-            spread.others += f64::from(*pace).mul_add(age.as_secs_f64(), f64::from(*asked));
+            others.asked += f64::from(*pace).mul_add(age.as_secs_f64(), f64::from(*asked));
+            others.pace += f64::from(*pace);
         }
     }
-    spread
+    limit::Spread { members, heard, others }
 }
 
 /// The daemons that were listed or heard of late, this one not counted, and how many of them are
@@ -343,7 +345,7 @@
 }
 
 /// Takes a digest of another daemon.
-pub fn on_digest(daemon: &mut Daemon, now: Now, fx: &mut Effects, digest: Digest) {
+pub fn on_digest(daemon: &mut Daemon, now: Now, fx: &mut Effects, digest: &Digest) {
     let from = digest.from.clone();
     let known = daemon.members.get(&from);
     let same = known.is_none_or(|member| member.record.incarnation == digest.incarnation);
--- a/crates/gcl-direct/src/limit.rs
+++ b/crates/gcl-direct/src/limit.rs
@@ -25,17 +25,22 @@
 /// Parts into which the window is divided. One more is kept, so that an ask never counts for less
 /// than the window.
 const SLICES: usize = 25;
-/// Slices over which the pace of grants is bounded.
+/// Slices over which the pace of operations is measured and bounded.
 const PACE_SLICES: u64 = 5;
-/// Part of what a daemon may grant within the window that it may grant within those slices: a
-/// quarter more than an even pace. A workspace that is over its rate is so served evenly, and a
-/// fleet that starts again and has forgotten what it granted cannot grant it all twice.
-const PACE: f64 = 0.25;
+/// The time that those slices usually cover.
+const PACE_TIME: Duration = Duration::from_secs(1);
+/// Shortest time over which a pace is measured, in the first moments of a daemon.
+const PACE_LEAST: Duration = Duration::from_millis(300);
+/// Part of what a daemon may grant within the window that it may grant within those slices: little
+/// more than an even pace. Only a workspace that asks for more than its rate is held to it:
+/// it is served evenly, and a fleet that starts again and has forgotten what it granted cannot grant
+/// it all twice.
+const PACE: f64 = 0.21;
 /// Shortest time after which a refused caller is told to come back.
 const RETRY_LEAST: Duration = Duration::from_millis(20);
 /// Growth of what is asked, as part of the whole, that other daemons are told at once.
 const GROWTH_TOLD: f64 = 0.02;
-/// Part of the whole above which they are.
+/// Part of the whole above which they are; daemons that have just started always are.
 const GROWTH_MATTERS: f64 = 0.5;
 
 /// Counts of the last slices of time.
@@ -69,11 +74,19 @@
         (first..=self.slice).map(|slice| self.slices[self.slot(slice)]).sum()
     }
 
-    /// The last two slices, as a rate for each slice.
-    fn pace(&self) -> f64 {
-        let before = self.slices[self.slot(self.slice.saturating_sub(1))];
-        let earlier = self.slices[self.slot(self.slice.saturating_sub(2))];
-        f64::from(before + earlier) / 2.0
+    /// Operations a second within the last slices.
+    fn pace(&self, now: Duration) -> f64 {
+        let over = now.as_secs_f64().clamp(PACE_LEAST.as_secs_f64(), PACE_TIME.as_secs_f64());
+        f64::from(self.recent(PACE_SLICES)) / over
+    }
+
+    /// Whether another grant keeps to an even pace. What an earlier life granted is not known: for
+    /// a daemon that has just started the window opens as time passes.
+    fn is_even(&self, now: Duration, bounds: &Bounds, part: f64) -> bool {
+        let window = bounds.rate_window.as_secs_f64().max(f64::MIN_POSITIVE);
+        let opened = (now.as_secs_f64() / window).min(1.0);
+        let recent = f64::from(self.recent(PACE_SLICES));
+        f64::from(self.sum) < part * opened && recent < (part * PACE).max(1.0)
     }
 
     fn slot(&self, slice: u64) -> usize {
@@ -111,8 +124,8 @@
     pub members: usize,
     /// Those of them that are heard, this one included.
     pub heard: usize,
-    /// Operations within the window that the others are asked for that are heard.
-    pub others: f64,
+    /// What the others are asked for that are heard.
+    pub others: Demand,
 }
 
 /// Operations within the window that a workspace may use over all daemons.
@@ -127,7 +140,7 @@
 pub fn part(whole: f64, spread: Spread, own: f64) -> f64 {
     let (members, heard) = (count(spread.members), count(spread.heard.min(spread.members)));
     let heard_whole = whole * heard / members;
-    let asked = own + spread.others;
+    let asked = own + spread.others.asked;
     if asked <= heard_whole {
         return own + (heard_whole - asked) / heard;
     }
@@ -158,15 +171,13 @@
         bounds: &Bounds,
     ) -> impl Iterator<Item = (&id::Workspace, Demand)> {
         let slice = slice(now, bounds);
-        let width = bounds.rate_window.as_secs_f64() / SLICES as f64;
-        let asked = self.accounts.iter_mut().filter_map(move |(name, account)| {
+        self.accounts.iter_mut().filter_map(move |(name, account)| {
             account.asked.advance(slice);
             account.told = account.asked.sum;
             let asked = f64::from(account.asked.sum);
-            let demand = Demand { asked, pace: account.asked.pace() / width };
+            let demand = Demand { asked, pace: account.asked.pace(now) };
             (asked > 0.0).then_some((name, demand))
-        });
-        asked
+        })
     }
 
     /// Takes one operation of a workspace; the second value tells whether other daemons should hear
@@ -189,13 +200,14 @@
         account.asked.add();
         let own = f64::from(account.asked.sum);
         let grown = f64::from(account.asked.sum.saturating_sub(account.told));
-        let tell = own + spread.others > whole * GROWTH_MATTERS && grown > whole * GROWTH_TOLD;
+        let matters =
+            own + spread.others.asked > whole * GROWTH_MATTERS || now < bounds.rate_window;
+        let tell = matters && grown > whole * GROWTH_TOLD;
         let part = part(whole, spread, own);
-        // What an earlier life granted is not known: the window opens as time passes.
-        let known =
-            (now.as_secs_f64() / bounds.rate_window.as_secs_f64().max(f64::MIN_POSITIVE)).min(1.0);
-        let recent = f64::from(account.granted.recent(PACE_SLICES));
-        if f64::from(account.granted.sum) < part * known && recent < (part * PACE).max(1.0) {
+        let within = f64::from(account.granted.sum) < part;
+        let pace = account.asked.pace(now) + spread.others.pace;
+        let hot = pace * bounds.rate_window.as_secs_f64() > whole;
+        if within && (!hot || account.granted.is_even(now, bounds, part)) {
             account.granted.add();
             return (Ok(()), tell);
         }
--- a/crates/gcl-direct/src/reduce.rs
+++ b/crates/gcl-direct/src/reduce.rs
@@ -30,7 +30,7 @@
         Event::Promoted { database, result } => {
             failover::on_promoted(state, now, &mut fx, &database, result);
         }
-        Event::Peer(digest) => gossip::on_digest(state, now, &mut fx, *digest),
+        Event::Peer(digest) => gossip::on_digest(state, now, &mut fx, &digest),
         Event::Wake => {}
         Event::Stop => drain::start(state, now, &mut fx),
     }
--- a/crates/gcl-direct/src/right.rs
+++ b/crates/gcl-direct/src/right.rs
@@ -68,5 +68,11 @@
 /// Whether an answer that `server` gave as primary may still be passed on.
 #[must_use]
 pub fn covers(daemon: &Daemon, now: Now, database: &str, server: &str) -> bool {
-    primary(daemon, now, database).is_ok_and(|primary| primary == server)
+    if primary(daemon, now, database).is_ok_and(|primary| primary == server) {
+        return true;
+    }
+    // Until this daemon acknowledges a move, the old primary is not superseded.
+    let group = daemon.groups.get(database).filter(|group| !group.released);
+    let moved = group.and_then(|group| group.moved.as_ref());
+    holds(daemon, now) && moved.is_some_and(|moved| moved.intention.from == server)
 }
--- /dev/null
+++ b/crates/gcl-direct/tests/direct/connection.rs
@@ -0,0 +1,53 @@
+use gcl_direct::{
+    connection::{Connection, Step, Values},
+    statement::{Access, Prepared},
+};
+use std::time::Duration;
+
+fn values(pairs: &[(&str, &str)]) -> Values {
+    pairs.iter().map(|(name, value)| ((*name).into(), (*value).into())).collect()
+}
+
+fn bring(connection: &mut Connection, values: &Values, prepared: Option<&Prepared>) -> Vec<Step> {
+    let mut steps = Vec::new();
+    while let Some(step) = connection.prelude(values, prepared) {
+        connection.on_done(step.clone());
+        steps.push(step);
+    }
+    steps
+}
+
+#[test]
+fn a_connection_takes_over_a_sessions_values() {
+    let mut connection = Connection::new("a".into(), "w".into(), Duration::ZERO);
+    let first = values(&[("x", "1"), ("y", "2")]);
+    assert_eq!(bring(&mut connection, &first, None).len(), 2);
+    assert_eq!(bring(&mut connection, &first, None), []);
+    let second = values(&[("y", "2")]);
+    let steps = bring(&mut connection, &second, None);
+    assert_eq!(steps, [Step::Reset, Step::Set("y".into(), "2".into())]);
+}
+
+#[test]
+fn sessions_share_prepared_statements_under_the_connections_names() {
+    let mut connection = Connection::new("a".into(), "w".into(), Duration::ZERO);
+    let read = Prepared { access: Access::Read, shape: "q1".into() };
+    let write = Prepared { access: Access::Write, shape: "q1".into() };
+    bring(&mut connection, &Values::new(), Some(&read));
+    bring(&mut connection, &Values::new(), Some(&write));
+    assert_eq!(bring(&mut connection, &Values::new(), Some(&read)), []);
+    assert_ne!(connection.name_of(&read), connection.name_of(&write));
+}
+
+#[test]
+fn a_connection_with_many_prepared_statements_starts_anew() {
+    let mut connection = Connection::new("a".into(), "w".into(), Duration::ZERO);
+    let mut resets = 0;
+    for shape in 0..200 {
+        let prepared = Prepared { access: Access::Read, shape: format!("q{shape}").into() };
+        let steps = bring(&mut connection, &Values::new(), Some(&prepared));
+        resets += steps.iter().filter(|step| **step == Step::Reset).count();
+        assert!(connection.name_of(&prepared).is_some());
+    }
+    assert_eq!(resets, 3);
+}
--- /dev/null
+++ b/crates/gcl-direct/tests/direct/drain.rs
@@ -0,0 +1,51 @@
+use super::world::World;
+use gcl_core::code::Code;
+
+#[test]
+fn a_planned_stop_cuts_nothing() {
+    let mut world = World::new(2);
+    let idle = world.login(0, "latest", "key");
+    let busy = world.login(0, "latest", "key");
+    world.query(busy, "BEGIN").expect("it begins");
+    world.query(busy, "WRITE 1 x").expect("it is written");
+    world.stop(0);
+    world.run(1);
+    assert!(!world.nodes[0].ready, "the balancer is told at once");
+    world.query(idle, "READ 1").expect("sessions go on at first");
+    world.run(2000);
+    world.query(busy, "COMMIT").expect("the transaction may end");
+    world.run(500);
+    assert!(world.is_closed(idle) && world.is_closed(busy));
+    assert!(world.nodes[0].exited);
+    world.run(100);
+    assert!(!world.nodes[1].state.members.contains_key("d0"), "the lease was given back");
+}
+
+#[test]
+fn a_transaction_that_does_not_end_is_rolled_back_in_time() {
+    let mut world = World::new(1);
+    world.configure(|config| config.transaction_idle = None);
+    world.run(20);
+    let session = world.login(0, "latest", "key");
+    world.query(session, "BEGIN").expect("it begins");
+    world.query(session, "WRITE 1 x").expect("it is written");
+    world.stop(0);
+    world.run(3500);
+    let fault = world.query(session, "COMMIT").expect_err("it was rolled back");
+    assert_eq!(fault.code, Code::TransactionLost);
+    world.run(500);
+    assert!(world.nodes[0].exited);
+}
+
+#[test]
+fn a_server_that_leaves_gets_no_new_statement() {
+    let mut world = World::new(1);
+    let writer = world.login(0, "latest", "key");
+    world.query(writer, "READ 0").expect("it is served");
+    world.announce("b", |entry| entry.draining = true);
+    world.announce("c", |entry| entry.draining = true);
+    world.run(20);
+    let reader = world.login(0, "bounded", "key");
+    world.query(reader, "READ 1").expect("it is served");
+    assert_eq!(world.ran("a", "READ 1"), 1);
+}
--- /dev/null
+++ b/crates/gcl-direct/tests/direct/evidence.rs
@@ -0,0 +1,51 @@
+use gcl_core::mark::Mark;
+use gcl_direct::{
+    failover::{Cause, Evidence, Successor, is_silent, successor},
+    pool::Health,
+};
+use std::time::Duration;
+use test_case::test_case;
+
+const fn ms(value: u64) -> Duration {
+    Duration::from_millis(value)
+}
+
+#[test_case(Cause::Silent, true, true, false => true; "its host refuses")]
+#[test_case(Cause::Silent, false, true, false => true; "all are heard and a successor has everything")]
+#[test_case(Cause::Silent, false, false, false => false; "a daemon that is not heard may have used it")]
+#[test_case(Cause::Silent, false, true, true => false; "no successor has everything")]
+#[test_case(Cause::Gone, false, false, false => false; "a lapsed entry proves nothing alone")]
+#[test_case(Cause::Leaving, false, false, false => true; "it leaves as planned")]
+fn a_primary_is_replaced_at_once(
+    cause: Cause,
+    refused: bool,
+    complete: bool,
+    behind: bool,
+) -> bool {
+    Evidence { cause, refused, complete, behind }.patience() == Duration::ZERO
+}
+
+#[test]
+fn silence_counts_only_while_other_servers_answer() {
+    let health =
+        Health { failing: Some(ms(1000)), failures: 3, succeeded: ms(900), refused: false };
+    assert!(is_silent(health, ms(2000), ms(1900)));
+    assert!(!is_silent(health, ms(2000), ms(200)), "this daemon may be the one that is cut off");
+    assert!(!is_silent(Health { failures: 1, ..health }, ms(2000), ms(1900)));
+    assert!(!is_silent(health, ms(1200), ms(1200)), "too early");
+}
+
+#[test]
+fn the_successor_has_most_of_the_log_among_those_reached() {
+    let make = |server: &str, reached, position, distance| Successor {
+        server: server.into(),
+        reached,
+        mark: Some(Mark::new(2, position)),
+        distance,
+    };
+    let best =
+        successor(vec![make("a", true, 7, 0), make("b", true, 9, 2), make("c", false, 12, 0)]);
+    assert_eq!(best.map(|best| best.server), Some("b".into()));
+    let near = successor(vec![make("a", true, 9, 2), make("b", true, 9, 0)]);
+    assert_eq!(near.map(|best| best.server), Some("b".into()));
+}
--- /dev/null
+++ b/crates/gcl-direct/tests/direct/failover.rs
@@ -0,0 +1,172 @@
+//! Primaries that crash, leave, or are cut off, and daemons that race, die or lose the store.
+
+use super::world::{Session, World};
+
+/// Writes at every daemon until each succeeds; gives the time that it took.
+fn until_written(world: &mut World, sessions: &[Session]) -> u64 {
+    let began = world.now_ms;
+    for session in sessions {
+        let mut tries = 0;
+        while world.query(*session, "WRITE 1 x").is_err() {
+            tries += 1;
+            assert!(tries < 200, "no primary after {} ms", world.now_ms - began);
+            world.run(50);
+        }
+    }
+    world.now_ms - began
+}
+
+fn sessions(world: &mut World) -> Vec<Session> {
+    let count = world.nodes.len();
+    (0..count).map(|daemon| world.login(daemon, "latest", "key")).collect()
+}
+
+/// Lets every daemon use the primary.
+fn warm(world: &mut World) -> Vec<Session> {
+    let sessions = sessions(world);
+    until_written(world, &sessions);
+    world.replicate();
+    world.run(800);
+    sessions
+}
+
+#[test]
+fn a_crashed_primary_is_replaced_by_one_promotion() {
+    let mut world = World::new(3);
+    let sessions = warm(&mut world);
+    world.crash("a");
+    let took = until_written(&mut world, &sessions);
+    assert!(took < 3000, "{took} ms");
+    let mut fences: Vec<_> = world.promotions.iter().map(|(_, fence)| *fence).collect();
+    fences.dedup();
+    assert_eq!(fences.len(), 1, "{:?}", world.promotions);
+}
+
+#[test]
+fn a_primary_that_leaves_is_replaced_without_a_lost_commit() {
+    let mut world = World::new(3);
+    let sessions = warm(&mut world);
+    world.announce("a", |entry| entry.draining = true);
+    for _ in 0..20 {
+        let _ = world.query(sessions[0], "WRITE 1 x");
+        world.replicate();
+        world.run(50);
+    }
+    let took = until_written(&mut world, &sessions);
+    assert!(took < 2500, "{took} ms");
+    let leader = &world.promotions[0].0.clone();
+    let (old, new) = (&world.servers["a"], &world.servers[leader]);
+    assert!(new.log > old.log, "the successor had everything");
+}
+
+#[test]
+fn an_open_transaction_may_end_before_a_planned_move() {
+    let mut world = World::new(2);
+    let sessions = warm(&mut world);
+    world.query(sessions[0], "BEGIN").expect("it begins");
+    world.query(sessions[0], "WRITE 2 y").expect("it is written");
+    world.announce("a", |entry| entry.draining = true);
+    world.run(300);
+    assert!(world.promotions.is_empty(), "the move waits for the transaction");
+    world.query(sessions[0], "COMMIT").expect("it commits");
+    world.replicate();
+    until_written(&mut world, &sessions);
+}
+
+#[test]
+fn one_daemon_that_cannot_reach_the_primary_replaces_nothing() {
+    let mut world = World::new(3);
+    let sessions = warm(&mut world);
+    world.nodes[0].unreachable.insert("a".into());
+    for _ in 0..40 {
+        let _ = world.query(sessions[0], "READ 1");
+        for session in &sessions[1..] {
+            world.query(*session, "READ 1").expect("the others reach it");
+        }
+        world.run(50);
+    }
+    assert!(world.promotions.is_empty(), "{:?}", world.promotions);
+}
+
+#[test]
+fn a_daemon_cut_off_with_the_primary_acknowledges_nothing_after_the_move() {
+    let mut world = World::new(3);
+    let sessions = warm(&mut world);
+    world.nodes[0].no_peers = true;
+    world.outage(Some(0), true);
+    for daemon in [1, 2] {
+        world.nodes[daemon].unreachable.insert("a".into());
+    }
+    world.announce("a", |entry| entry.draining = true);
+    // The world fails the test if a superseded commit is acknowledged.
+    for _ in 0..150 {
+        for session in &sessions {
+            let _ = world.query(*session, "WRITE 1 x");
+        }
+        world.run(40);
+    }
+    assert!(!world.promotions.is_empty(), "the others go on without it");
+}
+
+#[test]
+fn a_primary_that_may_have_acknowledged_more_is_waited_for() {
+    let mut world = World::new(3);
+    let sessions = warm(&mut world);
+    world.outage(Some(0), true);
+    world.nodes[0].no_peers = true;
+    for daemon in [1, 2] {
+        world.nodes[daemon].unreachable.insert("a".into());
+    }
+    let began = world.now_ms;
+    while world.now_ms < began + 7000 {
+        for session in &sessions[1..] {
+            let _ = world.query(*session, "WRITE 1 x");
+        }
+        world.run(20);
+    }
+    assert!(world.promotions.is_empty(), "a cut of some seconds heals");
+}
+
+#[test]
+fn a_mover_that_dies_is_replaced_with_a_higher_fence() {
+    let mut world = World::new(3);
+    let sessions = warm(&mut world);
+    // No acknowledgement arrives, so the move waits for this daemon's lease.
+    world.nodes[2].no_peers = true;
+    world.outage(Some(2), true);
+    world.crash("a");
+    let mut mover = None;
+    for _ in 0..100 {
+        let _ = world.query(sessions[0], "READ 1");
+        let _ = world.query(sessions[1], "READ 1");
+        mover = world.nodes[0].state.groups["orders"].moved.clone();
+        if mover.is_some() {
+            break;
+        }
+        world.run(20);
+    }
+    let mover = mover.expect("a daemon moves the primary");
+    let name = mover.intention.by.clone();
+    let dead = (0..3).find(|it| world.nodes[*it].state.settings.daemon == name);
+    let dead = dead.expect("the mover is one of them");
+    world.kill(dead);
+    let left: Vec<_> =
+        sessions.iter().filter(|(daemon, _)| *daemon != dead && *daemon != 2).copied().collect();
+    until_written(&mut world, &left);
+    let (_, fence) = world.promotions[0];
+    assert!(fence > mover.revision, "{fence} after {}", mover.revision);
+}
+
+#[test]
+fn fences_never_fall() {
+    let mut world = World::new(3);
+    let sessions = warm(&mut world);
+    world.crash("a");
+    until_written(&mut world, &sessions);
+    world.replicate();
+    let second = world.promotions[0].0.clone();
+    world.crash(&second);
+    until_written(&mut world, &sessions);
+    let fences: Vec<_> = world.promotions.iter().map(|(_, fence)| *fence).collect();
+    assert!(fences.is_sorted(), "{fences:?}");
+}
--- /dev/null
+++ b/crates/gcl-direct/tests/direct/gossip.rs
@@ -0,0 +1,76 @@
+//! Loans of the right to use primaries, and what daemons without the store do.
+
+use super::world::World;
+
+#[test]
+fn a_daemon_that_the_store_turns_away_serves_on_a_loan() {
+    let mut world = World::new(3);
+    let session = world.login(0, "latest", "key");
+    world.outage(Some(0), true);
+    for _ in 0..30 {
+        world.run(500);
+        world.query(session, "WRITE 1 x").expect("the right is borrowed");
+    }
+    assert!(!world.nodes[1].state.members.contains_key("d0"), "its own lease has ended");
+}
+
+#[test]
+fn a_loan_is_called_in_before_the_primary_moves() {
+    let mut world = World::new(3);
+    let sessions: Vec<_> = (0..3).map(|daemon| world.login(daemon, "latest", "key")).collect();
+    world.outage(Some(0), true);
+    world.run(9000);
+    for session in &sessions {
+        world.query(*session, "WRITE 1 x").expect("it is written");
+    }
+    world.replicate();
+    world.announce("a", |entry| entry.draining = true);
+    // The world fails the test if a superseded commit is acknowledged.
+    for _ in 0..60 {
+        let _ = world.query(sessions[0], "WRITE 1 x");
+        world.replicate();
+        world.run(30);
+    }
+    assert_eq!(world.promotions.len(), 1, "{:?}", world.promotions);
+    world.query(sessions[0], "WRITE 1 x").expect("the borrower was told of the new primary");
+}
+
+#[test]
+fn writes_go_on_through_an_outage_of_the_store_shorter_than_a_lease() {
+    let mut world = World::new(3);
+    let session = world.login(0, "latest", "key");
+    world.outage(None, true);
+    for _ in 0..9 {
+        world.run(500);
+        world.query(session, "WRITE 1 x").expect("the lease holds");
+    }
+    world.run(4000);
+    let fault = world.query(session, "WRITE 1 x").expect_err("the lease has ended");
+    assert!(fault.code.not_run());
+    assert!(!world.nodes[0].ready);
+    world.outage(None, false);
+    world.run(2500);
+    world.query(session, "WRITE 1 x").expect("the right is back");
+}
+
+#[test]
+fn a_daemon_that_is_cut_off_from_all_others_stops_before_its_lease_ends() {
+    let mut world = World::new(3);
+    let session = world.login(0, "latest", "key");
+    world.outage(Some(0), true);
+    world.nodes[0].no_peers = true;
+    world.run(4500);
+    let refused = world.query(session, "WRITE 1 x");
+    assert!(refused.is_err(), "its commits may be lost by a move");
+}
+
+#[test]
+fn the_store_is_called_little_at_rest() {
+    let mut world = World::new(5);
+    world.calls.clear();
+    world.run(20_000);
+    let priced: usize =
+        ["read", "watch", "write", "grant"].iter().filter_map(|name| world.calls.get(name)).sum();
+    assert_eq!(priced, 0, "{:?}", world.calls);
+    assert!(world.calls["renew"] <= 5 * 18, "{:?}", world.calls);
+}
--- /dev/null
+++ b/crates/gcl-direct/tests/direct/limit.rs
@@ -0,0 +1,134 @@
+//! What workspaces get of their rate over all daemons.
+
+use super::world::bounds;
+use gcl_core::id;
+use gcl_direct::{
+    config::Workspace,
+    limit::{Demand, Spread, State, part, whole},
+};
+use std::time::Duration;
+use test_case::test_case;
+
+const LIMIT: Workspace = Workspace { rate: 100.0, burst: 100.0 };
+/// Operations that the deployment's bounds allow within any window.
+const ALLOWED: usize = 680;
+
+/// Daemons that tell each other what they are asked every 300 ms.
+struct Fleet {
+    daemons: Vec<State>,
+    told: Vec<(Demand, u64)>,
+    since: Vec<u64>,
+    grants: Vec<u64>,
+    refused: usize,
+}
+
+impl Fleet {
+    fn new(count: usize) -> Self {
+        let daemons = vec![State::default(); count];
+        let (told, since) = (vec![(Demand::default(), 0); count], vec![0; count]);
+        Self { daemons, told, since, grants: Vec::new(), refused: 0 }
+    }
+
+    fn ask(&mut self, daemon: usize, now: u64) {
+        let members = self.daemons.len();
+        let others = self.told.iter().enumerate().filter(|(other, _)| *other != daemon);
+        let mut sum = Demand::default();
+        for (_, (demand, at)) in others {
+            let age = (now - at) as f64 / 1000.0;
+            sum.asked += demand.pace.mul_add(age, demand.asked);
+            sum.pace += demand.pace;
+        }
+        let spread = Spread { members, heard: members, others: sum };
+        let age = Duration::from_millis(now - self.since[daemon]);
+        let name = id::Workspace::from("w");
+        let whole = whole(LIMIT, &bounds());
+        let (granted, _) = self.daemons[daemon].take(age, &bounds(), &name, whole, spread);
+        if granted.is_ok() {
+            self.grants.push(now);
+        } else {
+            self.refused += 1;
+        }
+    }
+
+    fn tell(&mut self, now: u64) {
+        for (daemon, state) in self.daemons.iter_mut().enumerate() {
+            let age = Duration::from_millis(now - self.since[daemon]);
+            let demand = state.demands(age, &bounds()).next().map(|(_, it)| it);
+            self.told[daemon] = (demand.unwrap_or_default(), now);
+        }
+    }
+
+    /// The most operations that were granted within any window.
+    fn most(&self) -> usize {
+        let within = |first: u64| {
+            self.grants.iter().filter(|at| (first..first + 5000).contains(*at)).count()
+        };
+        self.grants.iter().map(|first| within(*first)).max().unwrap_or(0)
+    }
+
+    /// Lets callers ask `per_s` times a second for `seconds`, daemon by daemon as `pick` says.
+    fn play(&mut self, from: u64, seconds: u64, per_s: u64, pick: impl Fn(u64, u64) -> usize) {
+        let gap = 1_000_000 / per_s;
+        for step in 0..seconds * per_s {
+            let now = from + step * gap / 1000;
+            if step % (per_s * 3 / 10).max(1) == 0 {
+                self.tell(now);
+            }
+            self.ask(pick(step, now), now);
+        }
+    }
+}
+
+#[test]
+fn a_workspace_below_its_rate_is_never_refused_however_its_callers_are_spread() {
+    let mut fleet = Fleet::new(9);
+    fleet.play(10_000, 20, 65, |step, _| if step % 10 < 6 { 0 } else { 1 + (step % 3) as usize });
+    assert_eq!(fleet.refused, 0);
+}
+
+#[test_case(250; "two and a half times the rate")]
+#[test_case(700; "seven times the rate")]
+fn a_hot_workspace_gets_its_limit_and_no_more(per_s: u64) {
+    let mut fleet = Fleet::new(9);
+    fleet.play(10_000, 20, per_s, |step, _| (step % 9) as usize);
+    assert!(fleet.most() <= ALLOWED, "{} granted within a window", fleet.most());
+    let plain = 20 * 100;
+    assert!(fleet.grants.len() > plain, "{} granted in 20 s", fleet.grants.len());
+}
+
+#[test]
+fn callers_who_move_to_other_daemons_do_not_raise_the_limit() {
+    let mut fleet = Fleet::new(4);
+    fleet.play(10_000, 16, 400, |step, now| {
+        let half = if (now / 4000).is_multiple_of(2) { 0 } else { 2 };
+        half + (step % 2) as usize
+    });
+    assert!(fleet.most() <= ALLOWED, "{} granted within a window", fleet.most());
+}
+
+#[test]
+fn a_fleet_that_starts_again_does_not_grant_a_window_twice() {
+    let mut fleet = Fleet::new(9);
+    fleet.play(10_000, 9, 500, |step, _| (step % 9) as usize);
+    let restart = 20_000;
+    let grants = std::mem::take(&mut fleet.grants);
+    let mut again = Fleet::new(9);
+    again.since = vec![restart; 9];
+    again.grants = grants;
+    again.play(restart, 8, 500, |step, _| (step % 9) as usize);
+    assert!(again.most() <= ALLOWED, "{} granted within a window", again.most());
+}
+
+#[test]
+fn parts_add_up_to_the_whole_with_daemons_that_are_not_heard() {
+    let asked = [5.0, 70.0, 300.0];
+    let sum: f64 = asked.iter().sum();
+    let parts = asked.iter().map(|own| {
+        let others = Demand { asked: sum - own, pace: 0.0 };
+        part(640.0, Spread { members: 4, heard: 3, others }, *own)
+    });
+    let alone = Spread { members: 4, heard: 1, others: Demand::default() };
+    let alone = part(640.0, alone, 900.0);
+    let total = parts.sum::<f64>() + alone;
+    assert!((total - 640.0).abs() < 1e-6, "{total}");
+}
--- /dev/null
+++ b/crates/gcl-direct/tests/direct/main.rs
@@ -0,0 +1,23 @@
+//! Tests of the reducer for daemons that hold their own connections to every server.
+
+#![expect(
+    clippy::cast_possible_truncation,
+    clippy::cast_precision_loss,
+    clippy::struct_excessive_bools,
+    reason = "the fakes count small numbers and have a switch for each fault"
+)]
+
+mod connection;
+mod drain;
+mod evidence;
+mod failover;
+mod gossip;
+mod limit;
+mod observation;
+mod place;
+mod pool;
+mod queue;
+mod request;
+mod session;
+mod timer;
+mod world;
--- /dev/null
+++ b/crates/gcl-direct/tests/direct/pool.rs
@@ -0,0 +1,37 @@
+use super::world::World;
+use gcl_direct::{caller::Reply, pool::share};
+use test_case::test_case;
+
+#[test_case(22, 9 => 11; "kazyna")]
+#[test_case(30, 7 => 15; "basu")]
+#[test_case(72, 67 => 67; "one each where there are more daemons than half")]
+fn half_of_a_servers_connections_are_shared_out(connections: usize, members: usize) -> usize {
+    (0..members).map(|rank| share(connections, members, rank)).sum()
+}
+
+#[test]
+fn a_connection_carries_one_workspace_only() {
+    let mut world = World::new(1);
+    for key in ["key", "other-key", "key"] {
+        let session = world.login(0, "latest", key);
+        world.query(session, &format!("READ {key}")).expect("the read is served");
+    }
+    for (workspace, text) in &world.servers["a"].ran {
+        let expected = if text == "READ key" { "w" } else { "v" };
+        assert_eq!(workspace, expected, "{text}");
+    }
+}
+
+#[test]
+fn a_full_server_is_not_asked_again_at_once() {
+    let mut world = World::new(1);
+    let session = world.login(0, "latest", "key");
+    world.server("a").full = true;
+    world.send(session, "READ 1");
+    world.run(2000);
+    let replies = world.take(session);
+    assert!(
+        matches!(&replies[1..], [Reply::Error(fault), Reply::Ready(..)] if fault.code.not_run())
+    );
+    assert!(world.nodes[0].state.last_id < 40, "{} ids used", world.nodes[0].state.last_id);
+}
--- /dev/null
+++ b/crates/gcl-direct/tests/direct/world.rs
@@ -0,0 +1,727 @@
+//! A few daemons before a few servers and a store, all faked at the interfaces of the reducer.
+//!
+//! Messages take a fixed time, faults are set by the test, and nothing is random but the daemons'
+//! own seeds. The world knows what the daemons do not: which server a promotion has superseded. It
+//! fails a test when a write is acknowledged that such a server committed afterwards.
+
+use bytes::Bytes;
+use gcl_core::{batch::Status, code::Fault, id, mark::Mark, time::Now};
+use gcl_direct::{
+    backend::{Answer, Call, Command, Event as Backend, Refusal, Report},
+    caller::{Effect as CallerEffect, Event as Caller, Reply},
+    config::{Config, Database, Freshness, Route, Workspace},
+    directory::Entry,
+    effect::Effect,
+    event::Event,
+    reduce::reduce,
+    settings::{Bounds, Settings},
+    state::State,
+    statement::{Access, Query, Statement},
+    store::{Call as StoreCall, Contents, Event as Store, Failure, Item, Topic, Written},
+};
+use indexmap::{IndexMap, IndexSet};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+
+/// The database of most tests.
+pub const DATABASE: &str = "orders";
+/// Time that a promotion takes.
+const PROMOTION_MS: u64 = 300;
+/// Time of a message's way.
+const WAY_MS: u64 = 1;
+/// Time that a statement takes at a server.
+const WORK_MS: u64 = 4;
+/// Time after which a connection that nobody answers is given up.
+const SILENCE_MS: u64 = 600;
+
+/// One way of a caller into the system.
+pub type Session = (usize, id::Session);
+
+/// A server.
+#[derive(Debug)]
+pub struct Server {
+    pub entry: Entry,
+    pub term: u64,
+    pub log: u64,
+    pub up: bool,
+    pub deaf: bool,
+    pub full: bool,
+    /// Whether a promotion of another server has taken effect.
+    pub superseded: bool,
+    /// The next answers, instead of success.
+    pub refusals: Vec<Refusal>,
+    /// Whether the next statement runs and its answer is lost.
+    pub loses_answer: bool,
+    /// What ran, with the connection's workspace.
+    pub ran: Vec<(id::Workspace, String)>,
+}
+
+/// A daemon.
+#[derive(Debug)]
+pub struct Node {
+    pub state: State,
+    pub up: bool,
+    pub ready: bool,
+    pub exited: bool,
+    /// Whether it is cut from the store, from other daemons.
+    pub no_store: bool,
+    pub no_peers: bool,
+    /// Servers that it cannot reach.
+    pub unreachable: IndexSet<id::Server>,
+    boot_ms: u64,
+}
+
+#[derive(Debug)]
+enum What {
+    Deliver(usize, u64, Event),
+    Promote(id::Server),
+    Expire,
+}
+
+/// What a statement did at a server, until its answer arrives.
+#[derive(Clone, Debug, Default)]
+struct Link {
+    server: id::Server,
+    workspace: id::Workspace,
+    in_transaction: bool,
+    wrote: bool,
+    dirty_commit: bool,
+}
+
+#[derive(Debug, Default)]
+pub struct World {
+    pub now_ms: u64,
+    pub nodes: Vec<Node>,
+    pub servers: IndexMap<id::Server, Server>,
+    pub config: Config,
+    pub store_down: bool,
+    /// Orders to promote: server and fence.
+    pub promotions: Vec<(id::Server, u64)>,
+    pub calls: IndexMap<&'static str, usize>,
+    queue: BTreeMap<(u64, u64), What>,
+    order: u64,
+    revision: u64,
+    items: IndexMap<String, Item>,
+    leases: IndexMap<u64, (u64, u64)>,
+    watches: Vec<(usize, u64, Topic, u64)>,
+    links: IndexMap<(usize, u64), Link>,
+    replies: IndexMap<Session, Vec<Reply>>,
+    closed: IndexSet<Session>,
+    logins: IndexMap<Session, (String, String)>,
+}
+
+pub fn settings(daemon: usize) -> Settings {
+    let domains = [("alpha", "east"), ("beta", "east"), ("gamma", "west")];
+    Settings {
+        daemon: format!("d{daemon}").into(),
+        domain: domains[daemon % 3].0.into(),
+        regions: domains
+            .iter()
+            .map(|(domain, region)| ((*domain).into(), (*region).into()))
+            .collect(),
+        peer_address: format!("127.0.0.1:{}", 7000 + daemon).into(),
+        bounds: bounds(),
+    }
+}
+
+pub fn bounds() -> Bounds {
+    Bounds {
+        grace: Duration::from_secs(6),
+        rate_window: Duration::from_secs(5),
+        rate_excess: 0.1,
+        rate_slack: 20.0,
+        lease_min: Duration::from_secs(1),
+    }
+}
+
+fn route(freshness: Freshness) -> Arc<Route> {
+    Arc::new(Route {
+        rule: "r".into(),
+        database: DATABASE.into(),
+        freshness,
+        timeout: Duration::from_secs(1),
+        target_latency: Duration::from_millis(400),
+        priority: 1,
+        public: false,
+    })
+}
+
+fn config() -> Config {
+    let mut config = Config { version: 3, ..Config::default() };
+    let age = Duration::from_millis(1500);
+    config.routes.insert("latest".into(), route(Freshness::Latest));
+    config.routes.insert("bounded".into(), route(Freshness::Bounded(age)));
+    config.routes.insert("own".into(), route(Freshness::OwnWrites(age)));
+    config.databases.insert(DATABASE.into(), Database { connections: 20 });
+    config.workspaces.insert("w".into(), Workspace { rate: 1000.0, burst: 1000.0 });
+    config.keys.insert("key".into(), "w".into());
+    config.keys.insert("other-key".into(), "v".into());
+    config.transaction_idle = Some(Duration::from_secs(3));
+    config
+}
+
+impl World {
+    /// Daemons before a primary `a` and two replicas, all at rest and ready.
+    pub fn new(daemons: usize) -> Self {
+        let mut world = Self { now_ms: 1000, revision: 10, config: config(), ..Self::default() };
+        for (name, domain) in [("a", "alpha"), ("b", "beta"), ("c", "gamma")] {
+            world.add_server(name, domain, name == "a");
+        }
+        for daemon in 0..daemons {
+            world.boot(daemon);
+        }
+        world.run(3000);
+        assert!(world.nodes.iter().all(|node| node.ready), "every daemon is ready");
+        world
+    }
+
+    pub fn add_server(&mut self, name: &str, domain: &str, leads: bool) {
+        self.revision += 1;
+        let entry = Entry {
+            database: DATABASE.into(),
+            address: format!("127.0.0.1:{}", 9000 + self.servers.len()).into(),
+            domain: domain.into(),
+            slots: 3,
+            draining: false,
+            leads,
+            started_ms: 1,
+            revision: self.revision,
+        };
+        let server = Server {
+            entry,
+            term: 1,
+            log: 100,
+            up: true,
+            deaf: false,
+            full: false,
+            superseded: false,
+            refusals: Vec::new(),
+            loses_answer: false,
+            ran: Vec::new(),
+        };
+        self.servers.insert(name.into(), server);
+        self.notify(Topic::Servers);
+    }
+
+    /// Starts a daemon, again if it ran before.
+    pub fn boot(&mut self, daemon: usize) {
+        let seed = self.now_ms * 31 + daemon as u64;
+        let node = Node {
+            state: State::new(settings(daemon), seed),
+            up: true,
+            ready: false,
+            exited: false,
+            no_store: false,
+            no_peers: false,
+            unreachable: IndexSet::new(),
+            boot_ms: self.now_ms,
+        };
+        if daemon < self.nodes.len() {
+            self.nodes[daemon] = node;
+        } else {
+            self.nodes.push(node);
+        }
+        self.feed(daemon, Event::Started);
+    }
+
+    /// Kills a daemon: its connections end, and nobody is told.
+    pub fn kill(&mut self, daemon: usize) {
+        self.nodes[daemon].up = false;
+        self.links.retain(|(node, _), _| *node != daemon);
+        self.watches.retain(|(node, ..)| *node != daemon);
+    }
+
+    pub fn server(&mut self, name: &str) -> &mut Server {
+        self.servers.get_mut(name).expect("the server exists")
+    }
+
+    /// Changes a server's entry in the store.
+    pub fn announce(&mut self, name: &str, change: impl FnOnce(&mut Entry)) {
+        self.revision += 1;
+        let revision = self.revision;
+        let entry = &mut self.server(name).entry;
+        change(entry);
+        entry.revision = revision;
+        self.notify(Topic::Servers);
+    }
+
+    /// Puts a new version of the configuration in force.
+    pub fn configure(&mut self, change: impl FnOnce(&mut Config)) {
+        self.revision += 1;
+        self.config.version += 1;
+        change(&mut self.config);
+        self.notify(Topic::Config);
+    }
+
+    /// Crashes a server; connections to it are refused from then on.
+    pub fn crash(&mut self, name: &str) {
+        self.server(name).up = false;
+        let links: Vec<_> =
+            self.links.iter().filter(|(_, link)| link.server == name).map(|(it, _)| *it).collect();
+        for link in links {
+            self.links.swap_remove(&link);
+            self.end_link(link, "closed by the server", true);
+        }
+    }
+
+    fn end_link(&mut self, (daemon, connection): (usize, u64), reason: &str, answered: bool) {
+        let closed = Backend::Closed { reason: reason.into(), answered };
+        let wait = if answered { WAY_MS } else { SILENCE_MS };
+        self.later(wait, daemon, Event::Backend(connection, closed));
+    }
+
+    fn later(&mut self, wait: u64, daemon: usize, event: Event) {
+        let boot = self.nodes[daemon].boot_ms;
+        self.schedule(wait, What::Deliver(daemon, boot, event));
+    }
+
+    fn schedule(&mut self, wait: u64, what: What) {
+        self.order += 1;
+        self.queue.insert((self.now_ms + wait, self.order), what);
+    }
+
+    fn now(&self, daemon: usize) -> Now {
+        Now::at(Duration::from_millis(self.now_ms - self.nodes[daemon].boot_ms))
+    }
+
+    /// Lets time pass.
+    pub fn run(&mut self, ms: u64) {
+        let end = self.now_ms + ms;
+        loop {
+            let next = self.queue.first_key_value().map(|((at, _), _)| *at);
+            let wake = self.next_wake();
+            let at = next.into_iter().chain(wake.map(|(at, _)| at)).min();
+            let Some(at) = at.filter(|at| *at <= end) else {
+                break;
+            };
+            self.now_ms = at.max(self.now_ms);
+            if next == Some(at) {
+                if let Some((_, what)) = self.queue.pop_first() {
+                    self.handle(what);
+                }
+            } else if let Some((_, daemon)) = wake {
+                self.feed(daemon, Event::Wake);
+            }
+            self.expire();
+        }
+        self.now_ms = end;
+    }
+
+    fn next_wake(&self) -> Option<(u64, usize)> {
+        let live = self.nodes.iter().enumerate().filter(|(_, node)| node.up && !node.exited);
+        let wakes = live.filter_map(|(daemon, node)| {
+            let at = node.state.timers.next()?;
+            Some((node.boot_ms + at.as_millis() as u64 + 1, daemon))
+        });
+        wakes.min()
+    }
+
+    fn handle(&mut self, what: What) {
+        match what {
+            What::Deliver(daemon, boot, event) => {
+                let node = &self.nodes[daemon];
+                if node.up && node.boot_ms == boot {
+                    self.feed(daemon, event);
+                }
+            }
+            What::Promote(name) => self.take_over(&name),
+            What::Expire => {}
+        }
+    }
+
+    /// A promotion takes effect.
+    fn take_over(&mut self, name: &id::Server) {
+        let term = self.servers.values().map(|server| server.term).max().unwrap_or(0) + 1;
+        let log = self.servers[name].log;
+        for (other, server) in &mut self.servers {
+            server.superseded = other != name;
+            if other != name && !server.entry.leads {
+                server.log = server.log.min(log);
+            }
+        }
+        let server = self.server(name);
+        (server.term, server.superseded) = (term, false);
+        self.announce(name, |entry| entry.leads = true);
+    }
+
+    fn feed(&mut self, daemon: usize, event: Event) {
+        let now = self.now(daemon);
+        for effect in reduce(&mut self.nodes[daemon].state, now, event) {
+            self.carry_out(daemon, effect);
+        }
+    }
+
+    fn carry_out(&mut self, daemon: usize, effect: Effect) {
+        match effect {
+            Effect::Caller(session, effect) => self.tell_caller((daemon, session), effect),
+            Effect::Backend(connection, call) => self.call_server(daemon, connection, call),
+            Effect::Store(call) => self.call_store(daemon, call),
+            Effect::Promote { database, server, fence } => {
+                if !self.promotions.contains(&(server.clone(), fence)) {
+                    self.schedule(PROMOTION_MS, What::Promote(server.clone()));
+                }
+                self.promotions.push((server, fence));
+                self.later(WAY_MS, daemon, Event::Promoted { database, result: Ok(()) });
+            }
+            Effect::Peer { address, digest } => {
+                let to = self.nodes.iter().position(|it| it.state.settings.peer_address == address);
+                let heard =
+                    to.filter(|to| !self.nodes[daemon].no_peers && !self.nodes[*to].no_peers);
+                if let Some(to) = heard {
+                    self.later(WAY_MS, to, Event::Peer(digest));
+                }
+            }
+            Effect::Ready(ready) => self.nodes[daemon].ready = ready,
+            Effect::Exit => self.nodes[daemon].exited = true,
+            Effect::Log(_) | Effect::Metric(_) => {}
+        }
+    }
+
+    fn tell_caller(&mut self, session: Session, effect: CallerEffect) {
+        match effect {
+            CallerEffect::Send(replies) => self.replies.entry(session).or_default().extend(replies),
+            CallerEffect::Close => {
+                self.closed.insert(session);
+            }
+        }
+    }
+
+    fn call_server(&mut self, daemon: usize, connection: u64, call: Call) {
+        let id = (daemon, connection);
+        match call {
+            Call::Open { server, workspace, .. } => self.open(id, server, workspace),
+            Call::Send(command) => self.execute(id, &command),
+            Call::Close => {
+                self.links.swap_remove(&id);
+            }
+        }
+    }
+
+    fn open(&mut self, id: (usize, u64), name: id::Server, workspace: id::Workspace) {
+        let server = &self.servers[&name];
+        if self.nodes[id.0].unreachable.contains(&name) {
+            return self.end_link(id, "not open in time", false);
+        }
+        if !server.up {
+            return self.end_link(id, "connection refused", true);
+        }
+        if server.full {
+            let refused = Backend::Refused(Refusal::Full);
+            return self.later(WAY_MS * 2, id.0, Event::Backend(id.1, refused));
+        }
+        let mark = Mark::new(server.term, server.log);
+        self.links.insert(id, Link { server: name, workspace, ..Link::default() });
+        self.later(WAY_MS * 2, id.0, Event::Backend(id.1, Backend::Opened(Some(mark))));
+    }
+
+    fn execute(&mut self, id: (usize, u64), command: &Command) {
+        let Some(mut link) = self.links.get(&id).cloned() else {
+            return;
+        };
+        let name = link.server.clone();
+        if self.nodes[id.0].unreachable.contains(&name) {
+            return;
+        }
+        let answer = self.answer(&mut link, command);
+        if std::mem::take(&mut self.server(&name).loses_answer) {
+            self.links.swap_remove(&id);
+            return self.end_link(id, "connection reset", true);
+        }
+        self.links.insert(id, link);
+        self.later(WAY_MS * 2 + WORK_MS, id.0, Event::Backend(id.1, Backend::Answered(answer)));
+    }
+
+    fn answer(&mut self, link: &mut Link, command: &Command) -> Answer {
+        let server = self.servers.get_mut(&link.server).expect("the server exists");
+        let leads = server.entry.leads;
+        let refused = matches!(command, Command::Forward { .. } | Command::Execute { .. })
+            .then(|| server.refusals.pop())
+            .flatten();
+        let mut report = None;
+        let result = match (refused, command) {
+            (Some(refusal), _) => Err(refusal),
+            (None, Command::Begin { read_only, after }) => {
+                let lacks = after.is_some_and(|after| after > Mark::new(server.term, server.log));
+                match (lacks, leads || *read_only) {
+                    (true, _) => Err(Refusal::Behind),
+                    (_, false) => Err(Refusal::ReadOnly),
+                    _ => Ok(true),
+                }
+            }
+            (None, Command::Forward { after, text, .. }) => {
+                let lacks = after.is_some_and(|after| after > Mark::new(server.term, server.log));
+                let writes = text.starts_with("WRITE");
+                match (lacks, writes && !leads) {
+                    (true, _) => Err(Refusal::Behind),
+                    (_, true) => Err(Refusal::ReadOnly),
+                    _ => Ok(link.in_transaction),
+                }
+            }
+            (None, Command::Report) => {
+                let received = Mark::new(server.term, server.log);
+                report = Some(Report { leads, received });
+                Ok(false)
+            }
+            (None, Command::Rollback) => Ok(false),
+            (None, _) => Ok(link.in_transaction),
+        };
+        if let (Ok(_), Command::Forward { text, .. }) = (&result, command) {
+            server.ran.push((link.workspace.clone(), text.to_string()));
+            link.wrote |= text.starts_with("WRITE");
+        }
+        let commits = matches!(command, Command::Forward { text, .. }
+            if *text == "COMMIT" || (text.starts_with("WRITE") && !link.in_transaction));
+        if result.is_ok() && commits && link.wrote {
+            server.log += 1;
+            link.dirty_commit |= server.superseded;
+            link.wrote = false;
+        }
+        let ends = matches!(command, Command::Forward { text, .. } if *text == "COMMIT");
+        link.in_transaction = match (&result, ends) {
+            (Ok(open), false) => *open,
+            (Ok(_), true) => false,
+            (Err(_), _) => link.in_transaction,
+        };
+        let status = match (link.in_transaction, result.is_ok()) {
+            (false, _) => Status::Idle,
+            (true, true) => Status::Open,
+            (true, false) => Status::Failed,
+        };
+        let mark = Some(Mark::new(server.term, server.log));
+        let receipt = if link.dirty_commit { "superseded" } else { "receipt" };
+        link.dirty_commit = false;
+        let rows = Vec::new();
+        Answer { rows, result: result.map(|_| Bytes::from(receipt)), status, mark, report }
+    }
+
+    /// Replicas receive what the primary has committed.
+    pub fn replicate(&mut self) {
+        let Some(primary) = self.servers.values().find(|it| it.entry.leads && !it.superseded)
+        else {
+            return;
+        };
+        let (term, log) = (primary.term, primary.log);
+        for server in self.servers.values_mut().filter(|it| !it.entry.leads && !it.deaf) {
+            (server.term, server.log) = (term, log);
+        }
+    }
+
+    fn call_store(&mut self, daemon: usize, call: StoreCall) {
+        *self.calls.entry(call.name()).or_default() += 1;
+        let away = self.store_down || self.nodes[daemon].no_store;
+        let wait = WAY_MS * 2;
+        let failed = Failure::Unreached;
+        let event = match call {
+            StoreCall::Read(topic) if away => Store::Read(topic, Err(failed)),
+            StoreCall::Read(topic) => {
+                Store::Read(topic, Ok((self.contents(topic, 0), self.revision)))
+            }
+            StoreCall::Watch(topic, _) if away => Store::Watched(topic, Err(failed)),
+            StoreCall::Watch(topic, after) => {
+                let boot = self.nodes[daemon].boot_ms;
+                self.watches.push((daemon, boot, topic, after));
+                return self.notify(topic);
+            }
+            StoreCall::Write { call, .. } if away => Store::Written(call, Err(failed)),
+            StoreCall::Write { call, key, expected, value, lease } => {
+                Store::Written(call, Ok(self.write(&key, expected, value, lease)))
+            }
+            StoreCall::Grant(_) if away => Store::Granted(Err(failed)),
+            StoreCall::Grant(time) => {
+                self.revision += 1;
+                let (lease, ms) = (self.revision, time.as_millis() as u64);
+                self.leases.insert(lease, (self.now_ms + WAY_MS + ms, ms));
+                Store::Granted(Ok((lease, time)))
+            }
+            StoreCall::Renew(lease) if away => Store::Renewed(lease, Err(failed)),
+            StoreCall::Renew(lease) => {
+                let now = self.now_ms + WAY_MS;
+                let known = self.leases.get_mut(&lease);
+                let renewed = known.map(|(until, ms)| *until = now + *ms).is_some();
+                Store::Renewed(lease, Ok(renewed))
+            }
+            StoreCall::Revoke(lease) => {
+                if !away {
+                    self.leases.insert(lease, (0, 0));
+                    self.schedule(0, What::Expire);
+                }
+                return;
+            }
+        };
+        self.later(wait, daemon, Event::Store(event));
+    }
+
+    fn write(&mut self, key: &str, expected: u64, value: Bytes, lease: u64) -> Written {
+        let known = self.items.get(key).filter(|item| item.value.is_some());
+        if known.map_or(0, |item| item.revision) != expected {
+            return Written::Conflict;
+        }
+        if lease != 0 && !self.leases.contains_key(&lease) {
+            return Written::NoLease;
+        }
+        self.revision += 1;
+        let item = Item { key: key.into(), value: Some(value), revision: self.revision, lease };
+        self.items.insert(key.to_owned(), item);
+        self.notify(Topic::Own);
+        Written::Done(self.revision)
+    }
+
+    fn expire(&mut self) {
+        let now = self.now_ms;
+        let ended: Vec<_> =
+            self.leases.iter().filter(|(_, (until, _))| *until <= now).map(|(it, _)| *it).collect();
+        for lease in ended {
+            self.leases.swap_remove(&lease);
+            for item in self.items.values_mut().filter(|item| item.lease == lease) {
+                self.revision += 1;
+                (item.value, item.revision, item.lease) = (None, self.revision, 0);
+            }
+            self.notify(Topic::Own);
+        }
+    }
+
+    fn contents(&self, topic: Topic, after: u64) -> Contents {
+        match topic {
+            Topic::Config => Contents::Config(Some(Ok(Box::new(self.config.clone())))),
+            Topic::Servers => {
+                let changed = self.servers.iter().filter(|(_, it)| it.entry.revision > after);
+                let entries = changed.map(|(name, it)| (name.clone(), Some(Ok(it.entry.clone()))));
+                Contents::Servers(entries.collect())
+            }
+            Topic::Own => {
+                let changed = self.items.values().filter(|item| item.revision > after);
+                let kept = changed.filter(|item| after > 0 || item.value.is_some());
+                Contents::Own(kept.cloned().collect())
+            }
+        }
+    }
+
+    /// Answers the watches of a topic that have something to tell.
+    fn notify(&mut self, topic: Topic) {
+        let waiting = std::mem::take(&mut self.watches);
+        for (daemon, boot, watched, after) in waiting {
+            let newest = match topic {
+                Topic::Config => self.config.version + 10,
+                Topic::Servers => {
+                    self.servers.values().map(|it| it.entry.revision).max().unwrap_or(0)
+                }
+                Topic::Own => self.items.values().map(|item| item.revision).max().unwrap_or(0),
+            };
+            let gone = self.store_down || self.nodes[daemon].no_store;
+            let known = self.nodes[daemon].state.config.as_ref().map_or(0, |it| it.version);
+            let news =
+                if topic == Topic::Config { self.config.version > known } else { newest > after };
+            if watched != topic || gone || !news {
+                self.watches.push((daemon, boot, watched, after));
+                continue;
+            }
+            let result = Ok((self.contents(topic, after), self.revision));
+            self.schedule(
+                WAY_MS,
+                What::Deliver(daemon, boot, Event::Store(Store::Watched(topic, result))),
+            );
+        }
+    }
+
+    /// Begins or ends an outage of the store, for one daemon or for all.
+    pub fn outage(&mut self, daemon: Option<usize>, away: bool) {
+        match daemon {
+            Some(daemon) => self.nodes[daemon].no_store = away,
+            None => self.store_down = away,
+        }
+        let (ended, kept): (Vec<_>, Vec<_>) = std::mem::take(&mut self.watches)
+            .into_iter()
+            .partition(|(node, ..)| away && daemon.is_none_or(|daemon| daemon == *node));
+        self.watches = kept;
+        for (node, boot, topic, _) in ended {
+            let lost = Event::Store(Store::Watched(topic, Err(Failure::Lost)));
+            self.schedule(WAY_MS, What::Deliver(node, boot, lost));
+        }
+    }
+
+    pub fn stop(&mut self, daemon: usize) {
+        self.feed(daemon, Event::Stop);
+    }
+
+    pub fn login(&mut self, daemon: usize, service: &str, key: &str) -> Session {
+        self.order += 1;
+        let session = (daemon, self.order);
+        self.logins.insert(session, (service.to_owned(), key.to_owned()));
+        self.log_in(session);
+        session
+    }
+
+    fn log_in(&mut self, session: Session) {
+        let (service, key) = self.logins[&session].clone();
+        let login = Caller::Login { service: service.into(), key: key.into() };
+        self.feed(session.0, Event::Caller(session.1, login));
+    }
+
+    pub fn hang_up(&mut self, session: Session) {
+        self.feed(session.0, Event::Caller(session.1, Caller::Closed));
+    }
+
+    /// Sends a statement without waiting for its answer.
+    pub fn send(&mut self, session: Session, text: &str) {
+        let query = Query { id: "q".into(), statement: statement(text), text: text.into() };
+        self.feed(session.0, Event::Caller(session.1, Caller::Query(query)));
+    }
+
+    /// What a caller was told since it last asked.
+    pub fn take(&mut self, session: Session) -> Vec<Reply> {
+        let replies = self.replies.swap_remove(&session).unwrap_or_default();
+        for reply in &replies {
+            let superseded = Reply::Complete(Some(Bytes::from("superseded")));
+            assert_ne!(*reply, superseded, "a superseded primary's commit was acknowledged");
+        }
+        replies
+    }
+
+    /// Runs a statement and gives its end: success, or the fault. A caller whose session was closed
+    /// connects again first.
+    pub fn query(&mut self, session: Session, text: &str) -> Result<(), Fault> {
+        if self.closed.swap_remove(&session) {
+            self.log_in(session);
+        }
+        self.take(session);
+        self.send(session, text);
+        for _ in 0..400 {
+            let replies = self.replies.get(&session);
+            let over = replies.is_some_and(|it| matches!(it.last(), Some(Reply::Ready(..))));
+            if over || self.closed.contains(&session) {
+                break;
+            }
+            self.run(5);
+        }
+        for reply in self.take(session) {
+            match reply {
+                Reply::Complete(_) => return Ok(()),
+                Reply::Error(fault) => return Err(fault),
+                Reply::Failed(text) => panic!("failed: {text}"),
+                Reply::Row(_) | Reply::Ready(..) => {}
+            }
+        }
+        panic!("{text} was not answered");
+    }
+
+    pub fn is_closed(&self, session: Session) -> bool {
+        self.closed.contains(&session)
+    }
+
+    pub fn ran(&self, server: &str, text: &str) -> usize {
+        self.servers[server].ran.iter().filter(|(_, it)| it == text).count()
+    }
+}
+
+fn statement(text: &str) -> Statement {
+    let mut words = text.split(' ');
+    let mut word = || words.next().unwrap_or_default();
+    match (word(), word()) {
+        ("BEGIN", kind) => Statement::Begin { read_only: kind == "READ" },
+        ("COMMIT", _) => Statement::Commit,
+        ("ROLLBACK", _) => Statement::Rollback,
+        ("READ", _) => Statement::Data(Access::Read),
+        ("WRITE", _) => Statement::Data(Access::Write),
+        ("SET", name) => Statement::Set { name: name.into(), value: word().into() },
+        _ => Statement::Unknown,
+    }
+}
