--- /dev/null
+++ b/crates/gcl-daemon/tests/platform/main.rs
@@ -0,0 +1,100 @@
+//! Daemons as processes of their own on a stand-in of the users' platform.
+
+use gcl_platform_standin::{
+    caller::Caller,
+    deployment::{Deployment, KEY, SERVICE},
+};
+use std::{env, fs, path::Path, process};
+
+/// Starts a deployment whose settings and logs lie in a directory of the test's name.
+async fn start(test: &str, daemons: usize) -> Deployment {
+    let directory = env::temp_dir().join(format!("goldcrest-{}-{test}", process::id()));
+    fs::create_dir_all(&directory).expect("the directory can be made");
+    let program = Path::new(env!("CARGO_BIN_EXE_goldcrestd"));
+    Deployment::start(program, &directory, daemons).await.expect("the deployment starts")
+}
+
+async fn connect(deployment: &Deployment, daemon: usize, service: &str) -> Caller {
+    let address = deployment.daemons[daemon].callers.to_string();
+    Caller::connect(&address, service, KEY).await.expect("the login is accepted")
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_booking_is_read_through_another_daemon() {
+    let deployment = start("read", 2).await;
+    let mut writer = connect(&deployment, 0, SERVICE).await;
+    writer.query("BEGIN").await.expect("it begins");
+    writer.query("WRITE t1 booked").await.expect("it is written");
+    writer.query("COMMIT").await.expect("it commits");
+    let mut reader = connect(&deployment, 1, SERVICE).await;
+    assert_eq!(reader.query("READ t1").await.expect("it is served"), ["booked"]);
+    let mut lookup = connect(&deployment, 1, "lookup").await;
+    assert_eq!(lookup.query("READ t1").await.expect("it is served"), ["booked"]);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_crashed_primary_is_replaced_and_no_booking_is_made_twice() {
+    let deployment = start("crash", 3).await;
+    let mut caller = connect(&deployment, 0, SERVICE).await;
+    caller.query("WRITE t1 first").await.expect("it is written");
+    let primary = deployment.group.primary();
+    deployment.group.crash(&primary);
+    while caller.query("WRITE t1 second").await.is_err() {}
+    assert_ne!(deployment.group.primary(), primary);
+    assert_eq!(deployment.group.committed("t1"), ["first", "second"]);
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_planned_stop_answers_what_runs_and_gives_the_lease_back() {
+    let mut deployment = start("stop", 2).await;
+    let mut caller = connect(&deployment, 0, SERVICE).await;
+    caller.query("BEGIN").await.expect("it begins");
+    caller.query("WRITE t1 booked").await.expect("it is written");
+    deployment.daemons[0].signal("-TERM").expect("the signal is sent");
+    deployment.daemons[0].wait(false).await;
+    caller.query("COMMIT").await.expect("the transaction may end");
+    let status = deployment.daemons[0].child.wait().expect("the daemon ends");
+    assert!(status.success(), "{status}");
+    assert_eq!(deployment.group.committed("t1"), ["booked"]);
+    let log = deployment.daemons[0].log();
+    assert!(log.contains("\"event\":\"draining\"") && log.contains("\"event\":\"stopped\""));
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_withdrawn_key_ends_a_live_session() {
+    let deployment = start("key", 1).await;
+    let mut caller = connect(&deployment, 0, SERVICE).await;
+    caller.query("READ t1").await.expect("it is served");
+    deployment.configure(2, &["another"]);
+    while caller.query("READ t1").await.is_ok() {}
+    let address = deployment.daemons[0].callers.to_string();
+    let refused = Caller::connect(&address, SERVICE, KEY).await.expect_err("it opens nothing");
+    assert!(refused.to_string().starts_with("AUTHFAIL G101"), "{refused}");
+    assert!(!deployment.daemons[0].log().contains(KEY), "the key is in the log");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn bookings_go_on_while_the_store_is_away() {
+    let deployment = start("store", 2).await;
+    let mut caller = connect(&deployment, 0, SERVICE).await;
+    deployment.store.set_away(true);
+    for number in 0..20 {
+        let booked = caller.query(&format!("WRITE t{number} booked")).await;
+        booked.expect("the lease outlasts the outage");
+    }
+    deployment.store.set_away(false);
+    deployment.daemons[0].wait(true).await;
+    caller.query("WRITE t1 again").await.expect("it is written");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_killed_daemon_is_back_under_its_name() {
+    let mut deployment = start("kill", 2).await;
+    deployment.daemons[0].signal("-KILL").expect("the signal is sent");
+    deployment.daemons[0].child.wait().expect("the daemon ends");
+    deployment.daemons.remove(0);
+    deployment.add(0).expect("it starts again");
+    deployment.daemons[1].wait(true).await;
+    let mut caller = connect(&deployment, 1, SERVICE).await;
+    caller.query("WRITE t1 booked").await.expect("it is written");
+}
