feat(direct): keep a planned move short; tell large fleets and other regions less

Change: statements of their own go on at a primary that works until all give it up together after 600 ms; watches of servers pause while a deployment starts; reach and positions are told only while a primary is in doubt; far regions hear every second round, in fleets above 40 only.

--- a/crates/gcl-direct/src/failover/mod.rs
+++ b/crates/gcl-direct/src/failover/mod.rs
@@ -40,8 +40,10 @@
 const RANK_STEP: Duration = Duration::from_millis(120);
 /// Ranks after which all daemons move at the same time.
 const MOST_RANKS: u32 = 8;
-/// How long transactions may go on at a primary that is moved while it works.
-const RELEASE_PATIENCE: Duration = Duration::from_millis(1200);
+/// How long a primary that is moved while it works goes on: transactions may end, and statements of
+/// their own are still served. All daemons give it up at about the same time, so that nobody's
+/// callers wait for the transactions of another daemon.
+const RELEASE_PATIENCE: Duration = Duration::from_millis(600);
 /// Time after which another daemon replaces an intention whose mover may still live.
 const TAKEOVER_PATIENCE: Duration = Duration::from_secs(18);
 /// Time after which an intention is replaced whose mover is gone.
@@ -99,6 +101,9 @@
     if watch.call.is_some() || watch.attempt.is_some() {
         return;
     }
+    if matches!(cause, Cause::Gone | Cause::Silent) {
+        gossip::alarm(daemon, now);
+    }
     let evidence = gather(daemon, now, fx, database, cause);
     let due = since + evidence.patience() + RANK_STEP * rank;
     if now.mono >= due {
@@ -116,6 +121,7 @@
     if !is_failing(health, now.mono) {
         return;
     }
+    gossip::alarm(daemon, now);
     for candidate in successors(daemon, now, database, &server) {
         pool::ask(daemon, now, fx, &candidate.server);
     }
@@ -309,6 +315,9 @@
     let revision = moved.revision;
     watch_of(daemon, database).attempt = own.then(|| Attempt::new(revision, now.mono));
     daemon.timers.arm_by(timer::Key::Failover(database.clone()), now.mono);
+    if own {
+        gossip::nudge(daemon, now);
+    }
 }
 
 /// Gives up the old primary of an intention, and acknowledges that once nobody uses it by a loan.
@@ -321,11 +330,11 @@
     };
     let (revision, from, released) = (moved.revision, moved.intention.from.clone(), group.released);
     if !released {
-        let patient = moved.intention.planned && now.since(moved.seen) < RELEASE_PATIENCE;
-        let held = held(daemon, database);
-        if patient && !held.is_empty() {
-            return daemon.timers.arm_by(timer::Key::Failover(database.clone()), now.mono + STEP);
+        if moved.intention.planned && now.since(moved.seen) < RELEASE_PATIENCE {
+            let due = moved.seen + RELEASE_PATIENCE;
+            return daemon.timers.arm_by(timer::Key::Failover(database.clone()), due);
         }
+        let held = held(daemon, database);
         if let Some(group) = daemon.groups.get_mut(database) {
             group.released = true;
         }
--- a/crates/gcl-direct/src/follow.rs
+++ b/crates/gcl-direct/src/follow.rs
@@ -27,6 +27,12 @@
 /// Pause between watches of the daemons' own keys: each change there ends the watch of every daemon,
 /// and what is urgent about them is told by digests.
 const OWN_PAUSE: Duration = Duration::from_secs(2);
+/// Pause between watches of the servers, so that changes that come together end one watch.
+const SERVERS_PAUSE: Duration = Duration::from_millis(200);
+/// The same while a deployment starts, when every server registers itself.
+const START_PAUSE: Duration = Duration::from_millis(1500);
+/// Age of a daemon up to which its deployment may be starting.
+const START: Duration = Duration::from_secs(5);
 /// How long a lapsed entry is kept after the store was away: servers are back within two seconds.
 const LAPSED_KEPT: Duration = Duration::from_millis(2500);
 
@@ -149,10 +155,10 @@
             }
             known.revision = revision.max(known.revision);
             known.read = true;
-            if first || (!whole && topic != Topic::Own) {
+            if first || (!whole && topic == Topic::Config) {
                 fx.store(Call::Watch(topic, known.revision));
             } else if !whole {
-                daemon.timers.arm(timer::Key::Store(topic), now.mono + OWN_PAUSE);
+                daemon.timers.arm(timer::Key::Store(topic), now.mono + pause(topic, now));
             }
             apply(daemon, now, fx, contents, whole);
             if whole && topic == Topic::Own {
@@ -163,6 +169,15 @@
     }
 }
 
+/// Time between a watch that brought changes and the next.
+fn pause(topic: Topic, now: Now) -> Duration {
+    match topic {
+        Topic::Own => OWN_PAUSE,
+        _ if now.mono < START => START_PAUSE,
+        _ => SERVERS_PAUSE,
+    }
+}
+
 fn on_failed(
     daemon: &mut Daemon,
     now: Now,
--- a/crates/gcl-direct/src/gossip.rs
+++ b/crates/gcl-direct/src/gossip.rs
@@ -31,22 +31,30 @@
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
-/// Time between digests to each daemon.
+/// Time between digests to each daemon of the own region, in a fleet of up to [`FLEET`].
 const PERIOD: Duration = Duration::from_millis(700);
-/// Time between digests while this daemon needs a loan.
-const NEED_PERIOD: Duration = Duration::from_millis(300);
+/// Daemons beyond which the time between digests grows with the fleet, and other regions are told
+/// less often.
+const FLEET: usize = 40;
+/// Rounds of digests of which one goes to other regions, whose links are narrow and dear.
+const FAR_ROUNDS: u32 = 2;
+/// Time between digests to all daemons while a primary is in doubt, or this daemon needs a loan.
+const URGENT_PERIOD: Duration = Duration::from_millis(300);
+/// How long a doubt counts after it was last heard of.
+const ALARM: Duration = Duration::from_secs(2);
 /// Shortest time between digests that tell of growing demand.
 const HURRY: Duration = Duration::from_millis(120);
-/// Silence after which a daemon is not heard.
+/// Silence after which a daemon counts as out of reach. What depends on that asks for digests
+/// first: a primary in doubt, an overdue lease.
 const SILENCE: Duration = Duration::from_millis(2500);
+/// Rounds of digests after which what a daemon was asked for counts no more.
+const FORGOTTEN_ROUNDS: u32 = 8;
 /// Longest loan of the right to use primaries.
 const LOAN: Duration = Duration::from_millis(1500);
 /// What a loan ends before it is due, for the way of an answer through the daemon.
 const MARGIN: Duration = Duration::from_millis(100);
 /// What is left of the lease when loans are asked for.
-const NEED: Duration = Duration::from_secs(3);
-/// Daemons that one round of digests goes to, at most; larger fleets are told by turns.
-const MOST_RECEIVERS: usize = 24;
+const NEED: Duration = Duration::from_millis(4200);
 /// How recent a success at a primary is that counts as reaching it.
 const REACHED: Duration = Duration::from_secs(2);
 
@@ -108,7 +116,9 @@
     pub acknowledged: Vec<(id::Database, Release)>,
     /// Intentions that the sender knows.
     pub intentions: Vec<Known>,
-    /// Primaries that the sender uses.
+    /// Whether the sender knows of a primary in doubt.
+    pub alarm: bool,
+    /// Primaries that the sender uses, while one is in doubt.
     pub reaches: Vec<Reach>,
 }
 
@@ -126,7 +136,9 @@
     peers: IndexMap<id::Daemon, Peer>,
     loan_until: Duration,
     told: Duration,
-    turn: usize,
+    alarm_until: Duration,
+    round: u32,
+    to_all: bool,
 }
 
 impl State {
@@ -191,7 +203,7 @@
     let (mut members, mut heard) = (daemon.members.len().max(1), 1);
     for (name, peer) in &daemon.gossip.peers {
         let age = now.since(peer.heard);
-        if age >= SILENCE {
+        if age >= period(daemon) * FORGOTTEN_ROUNDS {
             continue;
         }
         heard += 1;
@@ -247,28 +259,51 @@
 /// Tells other daemons soon, since callers ask for much more than before.
 pub fn hurry(daemon: &mut Daemon, now: Now) {
     let due = (daemon.gossip.told + HURRY).max(now.mono);
+    daemon.gossip.to_all = true;
     daemon.timers.arm_by(timer::Key::Gossip, due);
 }
 
 /// Tells other daemons at once, since something changed that they wait for.
 pub fn nudge(daemon: &mut Daemon, now: Now) {
+    daemon.gossip.to_all = true;
     daemon.timers.arm_by(timer::Key::Gossip, now.mono);
 }
 
+/// The time between rounds of digests.
+fn period(daemon: &Daemon) -> Duration {
+    let fleet = u32::try_from(daemon.members.len().max(FLEET)).unwrap_or(u32::MAX);
+    PERIOD * fleet / u32::try_from(FLEET).unwrap_or(u32::MAX)
+}
+
+/// Takes note that a primary is in doubt, here or elsewhere, and has the daemons tell each other at
+/// once whether they reach it.
+pub fn alarm(daemon: &mut Daemon, now: Now) {
+    if daemon.gossip.alarm_until <= now.mono {
+        nudge(daemon, now);
+    }
+    daemon.gossip.alarm_until = now.mono + ALARM;
+}
+
 /// Tells other daemons.
 pub fn on_timer(daemon: &mut Daemon, now: Now, fx: &mut Effects) {
-    let period = if needs_loan(daemon, now) { NEED_PERIOD } else { PERIOD };
+    let urgent = needs_loan(daemon, now) || now.mono < daemon.gossip.alarm_until;
+    let period = if urgent { URGENT_PERIOD } else { period(daemon) };
     daemon.timers.arm(timer::Key::Gossip, now.mono + period);
-    let others: Vec<_> =
-        daemon.members.keys().filter(|name| **name != daemon.settings.daemon).cloned().collect();
     daemon.gossip.told = now.mono;
-    let count = others.len().min(MOST_RECEIVERS);
+    daemon.gossip.round = daemon.gossip.round.wrapping_add(1);
+    let to_all = std::mem::take(&mut daemon.gossip.to_all)
+        || urgent
+        || daemon.members.len() <= FLEET
+        || daemon.gossip.round.is_multiple_of(FAR_ROUNDS);
+    let others = daemon.members.iter().filter(|(name, member)| {
+        let near = daemon.settings.distance(&member.record.domain) < 2;
+        **name != daemon.settings.daemon && (near || to_all)
+    });
+    let others: Vec<_> = others.map(|(name, _)| name.clone()).collect();
     let digest = digest(daemon, now);
-    for step in 0..count {
-        let name = &others[(daemon.gossip.turn + step) % others.len()];
+    for name in &others {
         tell(daemon, now, fx, name, digest.clone());
     }
-    daemon.gossip.turn = (daemon.gossip.turn + count) % others.len().max(1);
 }
 
 /// Whether this daemon had a lease that it may not be able to renew.
@@ -305,7 +340,12 @@
         demands,
         acknowledged: acknowledged.iter().map(|(name, at)| (name.clone(), *at)).collect(),
         intentions: intentions.collect(),
-        reaches: reaches(daemon, now),
+        alarm: daemon.gossip.alarm_until > now.mono,
+        reaches: if daemon.gossip.alarm_until > now.mono {
+            reaches(daemon, now)
+        } else {
+            Vec::new()
+        },
     }
 }
 
@@ -363,19 +403,31 @@
     }
     let peer = daemon.gossip.peers.entry(from.clone()).or_default();
     (peer.heard, peer.digest) = (now.mono, digest.clone());
+    if digest.alarm && !digest.reaches.is_empty() {
+        on_alarm(daemon, now, digest);
+    }
     for known in &digest.intentions {
         failover::on_told(daemon, now, fx, known);
     }
     if let (Some(loan), Some(echo)) = (digest.loan, digest.echo) {
         borrow(daemon, now, fx, &from, loan, echo);
     }
-    if digest.needs_loan && daemon.lease.holds(now.mono) {
+    let listed = daemon.members.get(&from).map(|member| &member.record.domain);
+    let near = listed.is_none_or(|domain| daemon.settings.distance(domain) < 2);
+    if digest.needs_loan && near && daemon.lease.holds(now.mono) {
         let answer = self::digest(daemon, now);
         tell(daemon, now, fx, &from, answer);
     }
     failover::review_all(daemon, now, fx);
 }
 
+/// Joins in when another daemon does not reach a primary.
+fn on_alarm(daemon: &mut Daemon, now: Now, digest: &Digest) {
+    if digest.reaches.iter().any(|reach| !reach.answers) {
+        alarm(daemon, now);
+    }
+}
+
 /// Takes a loan of a peer's right.
 fn borrow(
     daemon: &mut Daemon,
--- a/crates/gcl-direct/src/lease.rs
+++ b/crates/gcl-direct/src/lease.rs
@@ -35,6 +35,8 @@
     pub incarnation: id::Incarnation,
     /// Where it hears other daemons, `ip:port`.
     pub address: CompactString,
+    /// Its failure domain.
+    pub domain: id::Domain,
     /// What it has acknowledged for each database.
     pub acknowledged: IndexMap<id::Database, Release>,
 }
--- a/crates/gcl-direct/src/member.rs
+++ b/crates/gcl-direct/src/member.rs
@@ -18,6 +18,7 @@
 pub fn start(daemon: &mut Daemon, now: Now, fx: &mut Effects) {
     daemon.lease.record.incarnation = daemon.incarnation;
     daemon.lease.record.address = daemon.settings.peer_address.clone();
+    daemon.lease.record.domain = daemon.settings.domain.clone();
     daemon.lease.stage = Stage::Asked;
     daemon.lease.sent = now.mono;
     fx.store(Call::Grant(TIME.max(daemon.settings.bounds.lease_min)));
--- a/crates/gcl-direct/src/request.rs
+++ b/crates/gcl-direct/src/request.rs
@@ -226,7 +226,10 @@
     let entry = daemon.sessions.get(&session).ok_or_else(none)?;
     let request = entry.request.as_ref().ok_or_else(none)?;
     let database = &request.route.database;
-    let primary = right::primary(daemon, now, database);
+    let primary = match entry.transaction {
+        Transaction::None => right::primary_for_statement(daemon, now, database),
+        _ => right::primary(daemon, now, database),
+    };
     if need == Need::Primary {
         return primary;
     }
--- a/crates/gcl-direct/src/right.rs
+++ b/crates/gcl-direct/src/right.rs
@@ -44,6 +44,20 @@
     daemon.lease.until().max(daemon.gossip.loan_until())
 }
 
+/// The primary of a database for a statement of its own, outside a transaction. While a primary that
+/// works is moved, such statements go on until this daemon gives it up.
+///
+/// # Errors
+/// [`Code::NoPrimary`] with the reason.
+pub fn primary_for_statement(daemon: &Daemon, now: Now, database: &str) -> Result<id::Server> {
+    let group = daemon.groups.get(database).filter(|group| !group.released);
+    let moved = group.and_then(|group| group.moved.as_ref());
+    match moved.filter(|moved| moved.intention.planned && holds(daemon, now)) {
+        Some(moved) => Ok(moved.intention.from.clone()),
+        None => primary(daemon, now, database),
+    }
+}
+
 /// The primary of a database, if this daemon may use it now.
 ///
 /// # Errors
--- a/crates/gcl-direct/tests/direct/drain.rs
+++ b/crates/gcl-direct/tests/direct/drain.rs
@@ -44,7 +44,8 @@
     world.query(writer, "READ 0").expect("it is served");
     world.announce("b", |entry| entry.draining = true);
     world.announce("c", |entry| entry.draining = true);
-    world.run(20);
+    world.run(1600);
+    world.query(writer, "READ 0").expect("it is served");
     let reader = world.login(0, "bounded", "key");
     world.query(reader, "READ 1").expect("it is served");
     assert_eq!(world.ran("a", "READ 1"), 1);
--- a/crates/gcl-direct/tests/direct/failover.rs
+++ b/crates/gcl-direct/tests/direct/failover.rs
@@ -170,3 +170,23 @@
     let fences: Vec<_> = world.promotions.iter().map(|(_, fence)| *fence).collect();
     assert!(fences.is_sorted(), "{fences:?}");
 }
+
+#[test]
+fn statements_of_their_own_go_on_while_transactions_end_before_a_planned_move() {
+    let mut world = World::new(3);
+    let sessions = warm(&mut world);
+    world.query(sessions[0], "BEGIN").expect("it begins");
+    world.query(sessions[0], "WRITE 2 y").expect("it is written");
+    world.announce("a", |entry| entry.draining = true);
+    world.run(200);
+    assert!(world.nodes[1].state.groups["orders"].moved.is_some(), "the move has begun");
+    for session in &sessions[1..] {
+        world.query(*session, "WRITE 3 z").expect("it is served by the old primary");
+        world.query(*session, "BEGIN").expect("it begins");
+        world.query(*session, "READ 3").expect_err("a transaction would outlive the old primary");
+        world.query(*session, "ROLLBACK").expect("it ends");
+    }
+    world.query(sessions[0], "COMMIT").expect("it commits");
+    world.replicate();
+    until_written(&mut world, &sessions);
+}
