feat(direct): open few connections at a time; agree before a silent primary moves

Change: the daemons together open 12 connections for each slot at a time; a statement whose wait for an opening exceeds its time is refused at once; a silent primary moves only when nobody says that it answers; pauses grow with failures.

--- a/crates/gcl-daemon/src/direct/backend.rs
+++ b/crates/gcl-daemon/src/direct/backend.rs
@@ -24,7 +24,7 @@
 use tokio_util::codec::Framed;
 
 /// Longest time until a connection is open.
-const OPEN_TIMEOUT: Duration = Duration::from_millis(600);
+const OPEN_TIMEOUT: Duration = Duration::from_millis(900);
 /// Time without an acknowledgement after which sent bytes end the connection.
 const USER_TIMEOUT: Duration = Duration::from_secs(2);
 /// Time between keep-alive probes.
--- a/crates/gcl-daemon/src/main.rs
+++ b/crates/gcl-daemon/src/main.rs
@@ -14,7 +14,6 @@
 };
 use tokio::signal::unix::{SignalKind, signal};
 
-
 /// Exit code for a command line that cannot be understood.
 const EXIT_USAGE: u8 = 2;
 /// Exit code for settings with faults.
--- a/crates/gcl-direct/src/failover/evidence.rs
+++ b/crates/gcl-direct/src/failover/evidence.rs
@@ -81,6 +81,14 @@
     is_failing(health, now) && now.saturating_sub(elsewhere) < ELSEWHERE
 }
 
+/// Whether the other daemons agree that a server is gone: most of them where its host refuses, all
+/// that say anything where it is silent. A server that is busy with a fleet's new connections is
+/// silent to some, and answers others.
+#[must_use]
+pub const fn is_agreed(refused: bool, answering: usize, failing: usize) -> bool {
+    answering == 0 || (refused && failing + 1 > answering)
+}
+
 /// A server that may take over.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Successor {
--- a/crates/gcl-direct/src/failover/mod.rs
+++ b/crates/gcl-direct/src/failover/mod.rs
@@ -12,7 +12,7 @@
 
 pub use self::{
     attempt::on_promoted,
-    evidence::{Cause, Evidence, Successor, is_failing, is_silent, successor},
+    evidence::{Cause, Evidence, Successor, is_agreed, is_failing, is_silent, successor},
 };
 
 use self::attempt::{Attempt, advance};
@@ -151,7 +151,8 @@
             let health = daemon.pools.get(&server)?.health;
             let silent = is_silent(health, now.mono, elsewhere(daemon, &server));
             let (answering, others) = gossip::opinions(daemon, now, &server);
-            (silent && others + 1 > answering).then_some(Cause::Silent)
+            let agreed = is_agreed(health.refused, answering, others);
+            (silent && agreed).then_some(Cause::Silent)
         }
         Leader::Moving => stalled(daemon, now, group).then_some(Cause::Stalled),
         Leader::Unknown if group.last.is_some() => Some(Cause::Gone),
--- a/crates/gcl-direct/src/gossip.rs
+++ b/crates/gcl-direct/src/gossip.rs
@@ -56,7 +56,7 @@
 /// What is left of the lease when loans are asked for.
 const NEED: Duration = Duration::from_millis(4200);
 /// How recent a success at a primary is that counts as reaching it.
-const REACHED: Duration = Duration::from_secs(2);
+const REACHED: Duration = Duration::from_secs(1);
 
 /// An intention that a daemon knows.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
@@ -356,8 +356,9 @@
         };
         let pool = daemon.pools.get(&server)?;
         let health = pool.health;
-        let used = health.failing.is_some() || now.since(health.succeeded) < REACHED;
-        used.then(|| Reach { answers: health.failing.is_none(), mark: pool.mark, server })
+        let answers = health.failing.is_none() && now.since(health.succeeded) < REACHED;
+        let used = health.failing.is_some() || answers;
+        used.then(|| Reach { answers, mark: pool.mark, server })
     });
     primaries.collect()
 }
--- a/crates/gcl-direct/src/pool.rs
+++ b/crates/gcl-direct/src/pool.rs
@@ -23,6 +23,14 @@
 const FULL_PAUSE: Duration = Duration::from_millis(300);
 /// How long no connection is tried after one could not be opened.
 const FAILED_PAUSE: Duration = Duration::from_millis(250);
+/// Most times that pause, as failures add up.
+const MOST_PAUSES: u32 = 4;
+/// Most connections to a server that one daemon opens at the same time.
+const MOST_OPENING: usize = 3;
+/// Connections to a server that the daemons together open at the same time, for each of its slots.
+/// Opening one takes a slot for a moment, and a fleet that starts again would else keep its servers
+/// busy with connections that are given up before they are open.
+const OPENING_PER_SLOT: usize = 12;
 /// How long a connection beyond the share may rest.
 const SURPLUS_REST: Duration = Duration::from_millis(300);
 /// What a statement is taken to need before any was measured.
@@ -66,6 +74,8 @@
     pub latency: Duration,
     /// How long sessions hold a connection.
     pub hold: Duration,
+    /// How long opening a connection takes.
+    pub opening: Duration,
     /// The way to the server.
     pub health: Health,
     /// Until when reads that need a recent log go elsewhere.
@@ -89,6 +99,7 @@
             failed_until: Duration::ZERO,
             latency: LATENCY_FIRST,
             hold: LATENCY_FIRST,
+            opening: LATENCY_FIRST,
             health: Health::default(),
             behind_until: Duration::ZERO,
             busy_until: Duration::ZERO,
@@ -116,7 +127,8 @@
         self.health.refused = answered;
         self.health.failing.get_or_insert(now.mono);
         self.health.failures += 1;
-        self.failed_until = now.mono + FAILED_PAUSE;
+        let pauses = self.health.failures.min(MOST_PAUSES);
+        self.failed_until = now.mono + FAILED_PAUSE * pauses;
     }
 }
 
@@ -178,9 +190,12 @@
     for (position, waiter) in unserved.iter().enumerate() {
         let same = |other: &&Waiter| other.workspace == waiter.workspace;
         let before = unserved[..position].iter().filter(same).count();
-        if opening(daemon, server, &waiter.workspace) > before {
+        if opening(daemon, server, |workspace| *workspace == waiter.workspace) > before {
             continue;
         }
+        if opening(daemon, server, |_any| true) >= most_opening(daemon, server) {
+            break;
+        }
         if !make_room(daemon, now, fx, server) {
             break;
         }
@@ -216,13 +231,35 @@
     idle.max_by_key(fits).copied()
 }
 
-/// Connections that are being opened for a workspace.
-fn opening(daemon: &Daemon, server: &id::Server, workspace: &id::Workspace) -> usize {
+/// Connections to a server that this daemon may open at the same time.
+fn most_opening(daemon: &Daemon, server: &str) -> usize {
+    let slots = daemon.directory.get(server).map_or(1, |entry| entry.slots);
+    (slots * OPENING_PER_SLOT / daemon.members.len().max(1)).clamp(1, MOST_OPENING)
+}
+
+/// How long a statement that comes now waits for a connection to a server.
+#[must_use]
+pub fn expected_wait(daemon: &Daemon, server: &str, workspace: &str) -> Duration {
+    let Some(pool) = daemon.pools.get(server) else {
+        return Duration::ZERO;
+    };
+    let mut known = pool.connections.iter().filter_map(|name| daemon.connections.get(name));
+    if known.any(|known| known.is_idle() && known.workspace == workspace) {
+        return Duration::ZERO;
+    }
+    let opening =
+        queue::expected_wait(pool.waiting.len(), pool.opening, most_opening(daemon, server));
+    let free = queue::expected_wait(pool.waiting.len(), pool.hold, pool.connections.len());
+    if pool.waiting.is_empty() { opening } else { opening.max(free) }
+}
+
+/// Connections that are being opened for some workspaces.
+fn opening(daemon: &Daemon, server: &id::Server, wanted: impl Fn(&id::Workspace) -> bool) -> usize {
     let Some(pool) = daemon.pools.get(server) else {
         return 0;
     };
     let known = pool.connections.iter().filter_map(|name| daemon.connections.get(name));
-    known.filter(|known| known.phase == Phase::Opening && known.workspace == *workspace).count()
+    known.filter(|known| known.phase == Phase::Opening && wanted(&known.workspace)).count()
 }
 
 /// Whether a connection may be opened, after closing an idle one if need be.
@@ -408,9 +445,11 @@
         return;
     };
     known.phase = Phase::Open;
+    let took = now.since(known.used);
     known.used = now.mono;
     let server = known.server.clone();
     if let Some(pool) = daemon.pools.get_mut(&server) {
+        pool.opening = average(pool.opening, took);
         pool.on_success(now);
     }
     rest(daemon, now, &server);
--- a/crates/gcl-direct/src/request.rs
+++ b/crates/gcl-direct/src/request.rs
@@ -16,7 +16,7 @@
     line::Line,
     place::{self, Candidate, Need},
     pool,
-    queue::{self, Waiter},
+    queue::Waiter,
     right,
     session::{self, Transaction},
     state::State as Daemon,
@@ -291,12 +291,10 @@
         target: request.arrived + request.route.target_latency,
     };
     let remaining = request.wait_until.saturating_sub(now.mono);
-    if let Some(pool) = daemon.pools.get(server) {
-        let wait = queue::expected_wait(pool.waiting.len(), pool.hold, pool.connections.len());
-        if !pool.waiting.is_empty() && wait > remaining {
-            let fault = Fault::new(Code::QueueFull, "the queue is longer than the time left");
-            return refuse(daemon, now, fx, session, fault.retry_after(wait));
-        }
+    let wait = pool::expected_wait(daemon, server, &waiter.workspace);
+    if wait > remaining {
+        let fault = Fault::new(Code::QueueFull, "the queue is longer than the time left");
+        return refuse(daemon, now, fx, session, fault.retry_after(wait));
     }
     pool::enqueue(daemon, now, fx, server, waiter);
 }
--- a/crates/gcl-direct/tests/direct/evidence.rs
+++ b/crates/gcl-direct/tests/direct/evidence.rs
@@ -1,6 +1,6 @@
 use gcl_core::mark::Mark;
 use gcl_direct::{
-    failover::{Cause, Evidence, Successor, is_silent, successor},
+    failover::{Cause, Evidence, Successor, is_agreed, is_silent, successor},
     pool::Health,
 };
 use std::time::Duration;
@@ -49,3 +49,11 @@
     let near = successor(vec![make("a", true, 9, 2), make("b", true, 9, 0)]);
     assert_eq!(near.map(|best| best.server), Some("b".into()));
 }
+
+#[test_case(false, 0, 3 => true; "silent to all")]
+#[test_case(false, 1, 30 => false; "a busy server that still answers one")]
+#[test_case(true, 1, 3 => true; "its host refuses most")]
+#[test_case(true, 3, 1 => false; "its host refuses few")]
+fn the_others_agree(refused: bool, answering: usize, failing: usize) -> bool {
+    is_agreed(refused, answering, failing)
+}
--- a/crates/gcl-direct/tests/direct/pool.rs
+++ b/crates/gcl-direct/tests/direct/pool.rs
@@ -35,3 +35,19 @@
     );
     assert!(world.nodes[0].state.last_id < 40, "{} ids used", world.nodes[0].state.last_id);
 }
+
+#[test]
+fn a_herd_of_sessions_opens_few_connections_at_a_time() {
+    let mut world = World::new(1);
+    let sessions: Vec<_> = (0..40).map(|_| world.login(0, "latest", "key")).collect();
+    let before = world.nodes[0].state.connections.len();
+    for session in &sessions {
+        world.send(*session, "READ 1");
+    }
+    let opening = world.nodes[0].state.connections.len() - before;
+    assert!(opening <= 3, "{opening} at once");
+    world.run(400);
+    for session in sessions {
+        assert!(matches!(world.take(session)[..], [.., Reply::Complete(_), Reply::Ready(..)]));
+    }
+}
