fix(session): tell a caller that its transaction was rolled back while it rested

Change: the first statement hears that nothing is kept, the next ones that the transaction is to be ended. The test that expected the former answer now expects both in turn.

--- a/crates/gcl-direct/src/session.rs
+++ b/crates/gcl-direct/src/session.rs
@@ -60,6 +60,8 @@
     None,
     /// One is open.
     Open(Box<Open>),
+    /// It was rolled back while the caller rested, who does not know that yet.
+    Lost,
     /// It failed, and waits for the caller to end it.
     Failed,
 }
@@ -71,7 +73,7 @@
         match self {
             Self::None => Status::Idle,
             Self::Open(_) => Status::Open,
-            Self::Failed => Status::Failed,
+            Self::Lost | Self::Failed => Status::Failed,
         }
     }
 }
@@ -238,7 +240,7 @@
         return;
     };
     match entry.transaction {
-        Transaction::Failed => on_failed(daemon, now, fx, session, &query),
+        Transaction::Lost | Transaction::Failed => on_failed(daemon, now, fx, session, &query),
         Transaction::None => outside(daemon, now, fx, session, query),
         Transaction::Open(_) => inside(daemon, now, fx, session, query),
     }
@@ -281,6 +283,10 @@
             entry.transaction = Transaction::None;
             Reply::Error(Fault::new(Code::TransactionLost, "the transaction had failed"))
         }
+        _ if matches!(entry.transaction, Transaction::Lost) => {
+            entry.transaction = Transaction::Failed;
+            Reply::Error(Fault::new(Code::TransactionLost, "the transaction was rolled back"))
+        }
         _ => Reply::Error(Fault::new(Code::Protocol, "the transaction failed; end it first")),
     };
     answer(daemon, now, fx, session, vec![reply]);
@@ -498,7 +504,7 @@
     if entry.is_some_and(|entry| matches!(entry.transaction, Transaction::Open(_))) {
         let line = Line::failure("transaction rolled back").with("session", session);
         fx.log(line.with("reason", reason));
-        end_transaction(daemon, now, fx, session, Transaction::Failed);
+        end_transaction(daemon, now, fx, session, Transaction::Lost);
     }
 }
 
--- a/crates/gcl-direct/tests/direct/session.rs
+++ b/crates/gcl-direct/tests/direct/session.rs
@@ -85,7 +85,9 @@
     let session = world.login(0, "latest", "key");
     world.query(session, "BEGIN").expect("it begins");
     world.run(3500);
-    let fault = world.query(session, "READ 1").expect_err("the transaction has failed");
+    let lost = world.query(session, "READ 1").expect_err("the transaction was rolled back");
+    assert_eq!(lost.code, Code::TransactionLost, "the caller did not know yet");
+    let fault = world.query(session, "READ 2").expect_err("the transaction has failed");
     assert_eq!(fault.code, Code::Protocol);
     world.query(session, "ROLLBACK").expect("it ends");
     world.query(session, "READ 1").expect("the session goes on");
