refactor(direct): drop two fields of the state that nothing reads

The name for connections without a workspace is the platform's and is sent by its codec; the time of the configuration's reading decided nothing.

--- a/crates/gcl-direct/src/follow.rs
+++ b/crates/gcl-direct/src/follow.rs
@@ -223,7 +223,6 @@
 
 fn on_config(daemon: &mut Daemon, now: Now, fx: &mut Effects, config: Config) {
     let before = daemon.config.as_ref().map_or(0, |config| config.version);
-    daemon.config_read = now.mono;
     if config.version <= before {
         return;
     }
--- a/crates/gcl-direct/src/pool.rs
+++ b/crates/gcl-direct/src/pool.rs
@@ -367,8 +367,7 @@
     match idle.copied() {
         Some(idle) => send(daemon, now, fx, idle, Step::Report, Command::Report),
         None if now.mono >= pool.failed_until && pool.connections.is_empty() => {
-            let nobody = daemon.nobody.clone();
-            open(daemon, now, fx, server, &nobody);
+            open(daemon, now, fx, server, &id::Workspace::default());
         }
         None => {}
     }
--- a/crates/gcl-direct/src/state.rs
+++ b/crates/gcl-direct/src/state.rs
@@ -4,10 +4,9 @@
     config::Config, connection::Connection, directory::Directory, drain, failover, follow, gossip,
     group::Group, lease, limit, pool::Pool, session::Session, settings::Settings, timer,
 };
-use compact_str::CompactString;
 use gcl_core::{id, random::Random};
 use indexmap::IndexMap;
-use std::{sync::Arc, time::Duration};
+use std::sync::Arc;
 
 /// Another daemon, as the store lists it.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -35,8 +34,6 @@
     pub timers: timer::Service,
     /// The configuration in force.
     pub config: Option<Arc<Config>>,
-    /// When it was read.
-    pub config_read: Duration,
     /// Backend servers.
     pub directory: Directory,
     /// Daemons that the store lists.
@@ -63,8 +60,6 @@
     pub drain: drain::State,
     /// Whether the daemon has reported itself ready.
     pub ready: bool,
-    /// The name that it opens connections with where no workspace is concerned.
-    pub nobody: CompactString,
 }
 
 impl State {
@@ -80,7 +75,6 @@
             last_id: 0,
             timers: timer::Service::default(),
             config: None,
-            config_read: Duration::ZERO,
             directory: Directory::default(),
             members: IndexMap::new(),
             follow: follow::State::default(),
@@ -94,7 +88,6 @@
             limit: limit::State::default(),
             drain: drain::State::default(),
             ready: false,
-            nobody: CompactString::const_new("-"),
         }
     }
 
