fix(failover): a server that sees itself as primary is no successor

After a cut healed, the primary was moved, and a daemon that had not reached the new one during the cut doubted it at once and moved the lead back to the superseded primary, which had most of the log. Its entry still said that it led, and was written anew after the intention, so daemons took the move for done and used the old primary. Ruled out: the right and the loans; every daemon had acknowledged. Change: only servers whose entry says replica succeed; what failed at a server before it led is forgotten when it leads. The first test failed without the change.

--- a/crates/gcl-direct/src/failover/mod.rs
+++ b/crates/gcl-direct/src/failover/mod.rs
@@ -79,11 +79,7 @@
 
 /// Looks at a database's primary, and does what is due for it.
 pub fn review(daemon: &mut Daemon, now: Now, fx: &mut Effects, database: &id::Database) {
-    if let Leader::Known(server) = right::leader(daemon, database)
-        && let Some(group) = daemon.groups.get_mut(database)
-    {
-        group.last = Some(server);
-    }
+    note_leader(daemon, now, database);
     release_old(daemon, now, fx, database);
     advance(daemon, now, fx, database);
     let cause = cause(daemon, now, database);
@@ -112,6 +108,22 @@
     daemon.timers.arm_by(timer::Key::Failover(database.clone()), now.mono + STEP);
 }
 
+/// Takes note of a new primary. What failed at it before it led says nothing about it now.
+fn note_leader(daemon: &mut Daemon, now: Now, database: &id::Database) {
+    let Leader::Known(server) = right::leader(daemon, database) else {
+        return;
+    };
+    let Some(group) = daemon.groups.get_mut(database) else {
+        return;
+    };
+    if group.last.as_ref() != Some(&server) {
+        let pool = daemon.pools.entry(server.clone()).or_default();
+        pool.on_success(now);
+        pool.failed_until = now.mono;
+        group.last = Some(server);
+    }
+}
+
 /// Asks the other servers of a database whose primary fails, to tell its fault from this daemon's.
 fn probe(daemon: &mut Daemon, now: Now, fx: &mut Effects, database: &id::Database) {
     let Leader::Known(server) = right::leader(daemon, database) else {
@@ -261,7 +273,8 @@
     from: &id::Server,
 ) -> Vec<Successor> {
     let servers = directory::servers(&daemon.directory, database);
-    let able = servers.filter(|(server, entry)| !entry.draining && *server != from);
+    // A superseded primary that does not know it yet would be taken for the new one at once.
+    let able = servers.filter(|(server, entry)| !entry.draining && !entry.leads && *server != from);
     let candidates = able.map(|(server, entry)| {
         let pool = daemon.pools.get(server);
         let failed =
--- a/crates/gcl-direct/tests/direct/failover.rs
+++ b/crates/gcl-direct/tests/direct/failover.rs
@@ -190,3 +190,41 @@
     world.replicate();
     until_written(&mut world, &sessions);
 }
+
+#[test]
+fn a_superseded_primary_takes_over_only_after_it_has_become_a_replica() {
+    let mut world = World::new(3);
+    let sessions = warm(&mut world);
+    // Commits that no replica received make it the most advanced of its term.
+    world.query(sessions[0], "WRITE 1 x").expect("it is written");
+    world.crash("a");
+    for _ in 0..200 {
+        if world.promotions.is_empty() {
+            let _ = world.query(sessions[0], "READ 1");
+            world.run(20);
+        }
+    }
+    let second = world.promotions[0].0.clone();
+    world.server("a").up = true;
+    world.run(400);
+    world.crash(&second);
+    until_written(&mut world, &sessions);
+    let third = &world.promotions.last().expect("the primary was moved again").0;
+    assert!(third != "a" && *third != second, "{:?}", world.promotions);
+}
+
+#[test]
+fn a_new_primary_is_not_doubted_for_what_failed_before_it_led() {
+    let mut world = World::new(3);
+    let sessions = warm(&mut world);
+    for (server, daemon) in [("b", 0), ("b", 1), ("b", 2), ("c", 0), ("c", 1), ("c", 2)] {
+        let pool = world.nodes[daemon].state.pools.entry(server.into()).or_default();
+        pool.health.failing = Some(std::time::Duration::from_millis(10));
+        pool.health.failures = 9;
+    }
+    world.crash("a");
+    until_written(&mut world, &sessions);
+    let mut fences: Vec<_> = world.promotions.iter().map(|(_, fence)| *fence).collect();
+    fences.dedup();
+    assert_eq!(fences.len(), 1, "{:?}", world.promotions);
+}
