--- a/crates/gcl-direct/src/failover/evidence.rs
+++ b/crates/gcl-direct/src/failover/evidence.rs
@@ -21,6 +21,9 @@
 /// How long a primary is waited for that may have acknowledged what no successor has. Cuts of a
 /// few seconds heal within it.
 const LOSS: Duration = Duration::from_secs(9);
+/// How long other daemons have to say whether they reach the primary; they are asked when the doubt
+/// begins, and answer within a round of digests.
+const OPINION: Duration = Duration::from_millis(350);
 /// How long successors of a primary that is certainly gone may catch up.
 const CATCH_UP: Duration = Duration::from_millis(2500);
 
@@ -61,8 +64,8 @@
             Cause::Leaving if self.behind => CATCH_UP,
             Cause::Leaving | Cause::Stalled => Duration::ZERO,
             Cause::Gone | Cause::Silent if self.refused && self.behind => CATCH_UP,
-            Cause::Gone | Cause::Silent if self.refused => Duration::ZERO,
-            Cause::Gone | Cause::Silent if self.complete && !self.behind => Duration::ZERO,
+            Cause::Gone | Cause::Silent if self.refused => OPINION,
+            Cause::Gone | Cause::Silent if self.complete && !self.behind => OPINION,
             Cause::Gone | Cause::Silent => LOSS,
         }
     }
