--- a/crates/gcl-direct/src/pool.rs
+++ b/crates/gcl-direct/src/pool.rs
@@ -203,14 +203,31 @@
     }
 }
 
+/// The connections of a pool.
+fn open_in<'a>(daemon: &'a Daemon, pool: &'a Pool) -> impl Iterator<Item = &'a Connection> {
+    pool.connections.iter().filter_map(|name| daemon.connections.get(name))
+}
+
+/// Statements of this daemon that run or wait at a server.
+#[must_use]
+pub fn load(daemon: &Daemon, pool: &Pool) -> usize {
+    pool.waiting.len() + open_in(daemon, pool).filter(|known| known.session.is_some()).count()
+}
+
+/// Whether a connection for a workspace is ready.
+#[must_use]
+pub fn is_warm(daemon: &Daemon, pool: &Pool, workspace: &str) -> bool {
+    open_in(daemon, pool).any(|known| known.is_idle() && known.workspace == workspace)
+}
+
 /// Those who wait, in the order in which they are served.
 fn ordered(daemon: &Daemon, now: Now, server: &id::Server) -> Vec<Waiter> {
     let Some(pool) = daemon.pools.get(server) else {
         return Vec::new();
     };
     let held = |workspace: &id::Workspace| {
-        let known = pool.connections.iter().filter_map(|name| daemon.connections.get(name));
-        known.filter(|known| known.session.is_some() && known.workspace == *workspace).count()
+        let held = open_in(daemon, pool).filter(|known| known.session.is_some());
+        held.filter(|known| known.workspace == *workspace).count()
     };
     let mut waiting = pool.waiting.clone();
     waiting.sort_by_cached_key(|waiter| queue::rank(waiter, now.mono, held(&waiter.workspace)));
@@ -243,8 +260,7 @@
     let Some(pool) = daemon.pools.get(server) else {
         return Duration::ZERO;
     };
-    let mut known = pool.connections.iter().filter_map(|name| daemon.connections.get(name));
-    if known.any(|known| known.is_idle() && known.workspace == workspace) {
+    if is_warm(daemon, pool, workspace) {
         return Duration::ZERO;
     }
     let opening =
@@ -258,7 +274,7 @@
     let Some(pool) = daemon.pools.get(server) else {
         return 0;
     };
-    let known = pool.connections.iter().filter_map(|name| daemon.connections.get(name));
+    let known = open_in(daemon, pool);
     known.filter(|known| known.phase == Phase::Opening && wanted(&known.workspace)).count()
 }
 
--- a/crates/gcl-direct/src/queue.rs
+++ b/crates/gcl-direct/src/queue.rs
@@ -30,7 +30,8 @@
     (now >= waiter.target, waiter.priority, held, waiter.arrived)
 }
 
-/// Whether a statement that comes now is refused at once, since it could not be served in time.
+/// How long a statement that comes now is expected to wait; one whose time is shorter is refused at
+/// once.
 ///
 /// `ahead` statements wait already, `turn` is how long one holds a connection, and `lanes` are the
 /// connections that serve them.
--- a/crates/gcl-direct/src/request/attempt.rs
+++ b/crates/gcl-direct/src/request/attempt.rs
@@ -1,7 +1,7 @@
 //! The tries of a statement: what it needs of a server, which one it goes to, and when it is tried
 //! again.
 
-use super::{Stage, refuse};
+use super::{BUSY_RETRY, Stage, refuse};
 use crate::{
     directory,
     effect::Effects,
@@ -32,8 +32,6 @@
 const PRIMARY_RETRY: Duration = Duration::from_millis(250);
 /// How long a statement that a server could not run may wait for another one, at least.
 const RETRY_WAIT: Duration = Duration::from_millis(150);
-/// When to come back after a refusal for lack of slots.
-const BUSY_RETRY: Duration = Duration::from_millis(250);
 
 /// What a statement that has no connection needs of a server: the server, and the position.
 fn needs(daemon: &Daemon, session: id::Session) -> Option<(Need, Option<Mark>)> {
@@ -106,24 +104,14 @@
             server,
             leads,
             distance: daemon.settings.distance(&known.domain),
-            load: pool.map_or(0, |pool| load(daemon, pool)),
-            warm: pool.is_some_and(|pool| warm(daemon, pool, &entry.workspace)),
+            load: pool.map_or(0, |pool| pool::load(daemon, pool)),
+            warm: pool.is_some_and(|pool| pool::is_warm(daemon, pool, &entry.workspace)),
             latency: pool.map_or_else(|| pool::Pool::default().latency, |pool| pool.latency),
         });
     }
     place::choose(need, &candidates).cloned().ok_or_else(none)
 }
 
-fn load(daemon: &Daemon, pool: &pool::Pool) -> usize {
-    let known = pool.connections.iter().filter_map(|name| daemon.connections.get(name));
-    pool.waiting.len() + known.filter(|known| known.session.is_some()).count()
-}
-
-fn warm(daemon: &Daemon, pool: &pool::Pool, workspace: &id::Workspace) -> bool {
-    let mut known = pool.connections.iter().filter_map(|name| daemon.connections.get(name));
-    known.any(|known| known.is_idle() && known.workspace == *workspace)
-}
-
 fn queue_at(
     daemon: &mut Daemon,
     now: Now,
--- a/crates/gcl-direct/src/request/outcome.rs
+++ b/crates/gcl-direct/src/request/outcome.rs
@@ -1,6 +1,6 @@
 //! What a server's answer, or the loss of it, means for the caller.
 
-use super::{Stage, attempt::retry, finish};
+use super::{BUSY_RETRY, Stage, attempt::retry, finish};
 use crate::{
     backend::{Answer, Refusal},
     caller::Reply,
@@ -21,8 +21,6 @@
 };
 use std::time::Duration;
 
-/// When to come back after a refusal for lack of slots.
-const BUSY_RETRY: Duration = Duration::from_millis(250);
 /// How long reads avoid a server whose queue was full.
 const BUSY_PAUSE: Duration = Duration::from_millis(100);
 /// How long reads avoid a replica that had not reached their position.
