fix(limit): a successor of a full holder serves at once

Cause: a daemon that left kept its whole bucket for its own callers and put it on the record as debt, and its successor started that far below zero. With a burst of a second's rate the successor refused for a second; when three daemons were replaced within that second nobody had tokens to lend.

Ruled out: seats that no one had claimed (the log shows them claimed 2 ms after the request came), and lenders that did not answer.

Change: a leaving holder keeps no more than its callers' demand of the two seconds in which it can be spent, and the successor counts that against the room of its bucket until it expires, in place of starting below zero.

--- a/crates/gcl-core/src/limit/account.rs
+++ b/crates/gcl-core/src/limit/account.rs
@@ -5,7 +5,7 @@
     Admission,
     bucket::{Amount, Bucket, RESERVE_QUARTERS, Rate, TOKEN},
     lease::{self, Active},
-    lend::{Borrower, Loan, Purse},
+    lend::{Borrower, LOAN_LIFE, Loan, Purse},
     seat::Seats,
 };
 use crate::{
@@ -45,6 +45,8 @@
     pub loans: IndexMap<Borrower, Loan>,
     /// What was borrowed, by lender.
     pub purses: IndexMap<id::Daemon, Purse>,
+    /// What former holders of the seats may still spend, and until when.
+    pub inherited: VecDeque<(Duration, Amount)>,
     /// Daemons to borrow from, nearest first, and when the list was made.
     pub lenders: (Duration, Vec<id::Daemon>),
     /// Requests that wait for a token, and until when.
@@ -139,10 +141,21 @@
         self.loans.values().map(|loan| loan.outstanding).sum()
     }
 
-    /// Mints up to now, within the share of the burst that is not lent.
+    /// Counts what the former holder of a seat may spend until its tokens expire.
+    pub fn inherit(&mut self, now: Now, debt: Amount) {
+        if debt > 0 {
+            self.inherited.push_back((now.mono + LOAN_LIFE, debt));
+        }
+    }
+
+    /// Mints up to now, within the share of the burst that nobody else can spend.
     pub fn earn(&mut self, now: Now, active: Active) {
+        while self.inherited.front().is_some_and(|(until, _)| now.mono >= *until) {
+            self.inherited.pop_front();
+        }
+        let inherited: Amount = self.inherited.iter().map(|(_, debt)| debt).sum();
         let quarters = self.quarters(active);
-        let room = (self.rate.capacity(quarters) - self.lent()).max(0);
+        let room = (self.rate.capacity(quarters) - self.lent() - inherited).max(0);
         self.bucket.earn(now.mono, self.rate, quarters, room);
     }
 
--- a/crates/gcl-core/src/limit/bucket.rs
+++ b/crates/gcl-core/src/limit/bucket.rs
@@ -66,7 +66,7 @@
 /// A bucket that holds a share of a workspace's rate.
 #[derive(Clone, Debug, Default)]
 pub struct Bucket {
-    /// What it holds; below zero while a predecessor's tokens may still be spent elsewhere.
+    /// What it holds.
     pub level: Amount,
     /// Up to when it has earned.
     pub earned_at: Duration,
--- a/crates/gcl-core/src/limit/claim.rs
+++ b/crates/gcl-core/src/limit/claim.rs
@@ -105,8 +105,7 @@
     if account.seats.held.contains_key(&seat.number) {
         return;
     }
-    let debt = -seat.record.debt;
-    let gain = if seat.revision == 0 { account.rate.capacity(SEAT_QUARTERS) } else { debt };
+    let gain = if seat.revision == 0 { account.rate.capacity(SEAT_QUARTERS) } else { 0 };
     let spoiled = account.seats.spoiled.get(&seat.number);
     let sure = spoiled.is_none_or(|spoiled| seat.revision > *spoiled);
     match seat.record.reserve.clone() {
@@ -178,8 +177,7 @@
     let known = daemon.member.members.contains_key(&reserve.daemon);
     let own = |held: &Owner| held.daemon == reserve.daemon;
     if !known && orphaned(daemon, now, workspace, seat.number, GONE_AFTER) {
-        let gain = -seat.record.debt;
-        claim(daemon, now, fx, workspace, &seat, gain, true);
+        claim(daemon, now, fx, workspace, &seat, 0, true);
     } else if seat.record.flexible.as_ref().is_none_or(own)
         && let Some(lease) = lease::current(daemon, now)
     {
@@ -309,11 +307,13 @@
         Some(known) => known.usable_at,
         None => quarantine.then_some(now.mono + QUARANTINE),
     };
-    if known.is_none() && reserve {
-        account.bucket.level = account.bucket.level.saturating_add(gain);
+    let gained = known.is_none() && reserve;
+    if gained {
         seats.unclaimed = seats.unclaimed.saturating_sub(1);
+        account.bucket.level = account.bucket.level.saturating_add(gain);
+        account.inherit(now, record.debt);
     }
-    seats.held.insert(number, Held { record, revision, reserve, flexible, usable_at });
+    account.seats.held.insert(number, Held { record, revision, reserve, flexible, usable_at });
 }
 
 /// Hangs flexible parts on the present lease, a few in each round.
--- a/crates/gcl-core/src/limit/release.rs
+++ b/crates/gcl-core/src/limit/release.rs
@@ -2,7 +2,7 @@
 
 use super::{
     Message,
-    bucket::Amount,
+    bucket::{Amount, TOKEN},
     lease, lend,
     seat::{self, Phase, Record, SPREAD, Step, call, key},
     tell,
@@ -10,6 +10,9 @@
 use crate::{effect::Effects, id, state::State as Daemon, store, time::Now};
 use std::time::Duration;
 
+/// Least that a daemon keeps for its own callers when it gives its seats back.
+const LEAST_KEPT: Amount = 2 * TOKEN;
+
 /// Takes the store's answer to a release, and tells those who may claim the seat.
 pub(super) fn on_answer(
     daemon: &mut Daemon,
@@ -70,7 +73,9 @@
     call(daemon, fx, workspace, op, Step::Release(number));
 }
 
-/// Gives all seats of a workspace back; what may still be spent goes on a record as debt.
+/// Gives all seats of a workspace back; what may still be spent goes on a record as debt. It
+/// takes up room in the successor's bucket, so no more is kept than the demand of the time in which
+/// it can be spent.
 fn release_all(daemon: &mut Daemon, now: Now, fx: &mut Effects, workspace: &id::Workspace) {
     let active = lease::active(daemon, now);
     let me = daemon.settings.daemon.clone();
@@ -78,7 +83,8 @@
         return;
     };
     account.earn(now, active);
-    let kept = account.bucket.level.max(0);
+    let demand = account.needed(now, lend::LOAN_LIFE).max(LEAST_KEPT);
+    let kept = account.bucket.level.clamp(0, demand);
     account.bucket.level = 0;
     if kept > 0 {
         account.purses.insert(me, lend::Purse::of(now, kept));
--- a/crates/gcl-core/src/limit/seat.rs
+++ b/crates/gcl-core/src/limit/seat.rs
@@ -44,7 +44,8 @@
     pub reserve: Option<Owner>,
     /// The holder of the flexible part.
     pub flexible: Option<Owner>,
-    /// Tokens that the last holder left in others' hands; its successor starts below zero.
+    /// Tokens that the last holder and its borrowers may still spend; they take up room in its
+    /// successor's bucket until they expire.
     pub debt: Amount,
 }
 
--- a/crates/gcl-core/tests/core/limit/parts.rs
+++ b/crates/gcl-core/tests/core/limit/parts.rs
@@ -69,6 +69,49 @@
     }
 }
 
+/// A daemon that takes a leaving holder's seats serves at once, though that holder's bucket of half
+/// the burst was full.
+#[test]
+fn a_successor_of_a_full_holder_serves_at_once() {
+    let places = [("alpha", "north"), ("beta", "north"), ("beta", "north"), ("alpha", "north")];
+    let mut fleet = Fleet::new(&places, &[("ws", 100_000, 100_000)], 9);
+    fleet.kill(3);
+    fleet.run_until(ms(1_000));
+    fleet.ask(ms(1_000), 0, "ws");
+    fleet.run_until(ms(1_200));
+    fleet.restart(3);
+    fleet.ask(ms(1_200), 3, "ws");
+    fleet.run_until(ms(1_201));
+    fleet.drain(0);
+    fleet.kill(0);
+    for step in 0..50 {
+        fleet.ask(ms(1_210 + step * 4), 3, "ws");
+    }
+    fleet.run_until(ms(1_600));
+    let tally = &fleet.tallies["ws"];
+    assert_eq!((tally.granted, tally.refused), (52, 0), "nobody was over the rate");
+}
+
+/// A leaving holder keeps what its own callers still need, not its whole bucket, so the daemon that
+/// takes its place serves at once though nobody else can lend.
+#[test]
+fn a_leaving_holder_leaves_no_more_debt_than_it_may_spend() {
+    let mut fleet = Fleet::new(&[("a", "north"), ("a", "north")], &[("ws", 100, 100)], 9);
+    fleet.kill(1);
+    fleet.traffic("ws", 10.0, &[1, 0], 9);
+    fleet.run_until(ms(10_000));
+    fleet.restart(1);
+    fleet.drain(0);
+    fleet.kill(0);
+    let (before, refused) = (fleet.tallies["ws"].granted, fleet.tallies["ws"].refused);
+    for step in 0..20 {
+        fleet.ask(ms(10_010 + step * 50), 1, "ws");
+    }
+    fleet.run_until(ms(12_000));
+    let tally = &fleet.tallies["ws"];
+    assert_eq!((tally.granted - before, tally.refused - refused), (20, 0), "a fifth of the rate");
+}
+
 /// A daemon that is alone holds every seat, full.
 fn holder() -> State {
     let mut state = fixture::configured("d1");
