fix(right): a daemon that just started does not use the old primary

Ruled out: positions of the primary told by others (they are not used for reads), and the wrong one of two servers that register as primary.

Change: an intention is marked when it is learned by whether this daemon had the right by its own lease, which is when the mover waits for it. Only then is the old primary used on, and only by its own lease: a loan from a daemon that has given the primary up does not count.

--- a/crates/gcl-direct/src/failover/mod.rs
+++ b/crates/gcl-direct/src/failover/mod.rs
@@ -344,7 +344,8 @@
     };
     let (revision, from, released) = (moved.revision, moved.intention.from.clone(), group.released);
     if !released {
-        if moved.intention.planned && now.since(moved.seen) < RELEASE_PATIENCE {
+        let patient = moved.intention.planned && moved.awaited;
+        if patient && now.since(moved.seen) < RELEASE_PATIENCE {
             let due = moved.seen + RELEASE_PATIENCE;
             return daemon.timers.arm_by(timer::Key::Failover(database.clone()), due);
         }
@@ -367,10 +368,11 @@
 
 /// Takes note of an intention that another daemon knows.
 pub fn on_told(daemon: &mut Daemon, now: Now, fx: &mut Effects, known: &Known) {
+    let awaited = right::holds_own(daemon, now);
     let group = daemon.groups.entry(known.database.clone()).or_default();
     let revision = group.moved.as_ref().map_or(0, |moved| moved.revision);
     if known.revision > revision {
-        group.learn(known.intention.clone(), known.revision, now.mono);
+        group.learn(known.intention.clone(), known.revision, now.mono, awaited);
         let line = Line::belief("told of a move").with("database", &known.database);
         let line = line.with("from", &known.intention.from).with("to", &known.intention.to);
         fx.log(line.with("revision", known.revision));
--- a/crates/gcl-direct/src/follow.rs
+++ b/crates/gcl-direct/src/follow.rs
@@ -400,6 +400,7 @@
             return fx.log(line.with("error", error));
         }
     };
+    let awaited = right::holds_own(daemon, now);
     let group = daemon.groups.entry(database.clone()).or_default();
     if group.moved.as_ref().is_some_and(|known| known.revision >= item.revision) {
         return;
@@ -408,7 +409,7 @@
     let line = line.with("from", &intention.from).with("to", &intention.to);
     let line = line.with("by", &intention.by).with("planned", intention.planned);
     fx.log(line.with("revision", item.revision));
-    group.learn(intention, item.revision, now.mono);
+    group.learn(intention, item.revision, now.mono, awaited);
     failover::on_intention(daemon, now, database);
     if right::primary(daemon, now, database).is_ok() {
         request::on_leader(daemon, now, fx, database);
--- a/crates/gcl-direct/src/group.rs
+++ b/crates/gcl-direct/src/group.rs
@@ -46,6 +46,9 @@
     pub revision: id::Revision,
     /// When this daemon first saw it.
     pub seen: Duration,
+    /// Whether the mover certainly waits for this daemon to give the old primary up: it had the
+    /// right by its own lease when it first saw the intention.
+    pub awaited: bool,
 }
 
 /// What a daemon knows of one database.
@@ -64,9 +67,15 @@
 }
 
 impl Group {
-    /// Takes note of a newer intention.
-    pub fn learn(&mut self, intention: Intention, revision: id::Revision, now: Duration) {
-        self.moved = Some(Move { intention, revision, seen: now });
+    /// Takes note of a newer intention; see [`Move::awaited`].
+    pub fn learn(
+        &mut self,
+        intention: Intention,
+        revision: id::Revision,
+        now: Duration,
+        awaited: bool,
+    ) {
+        self.moved = Some(Move { intention, revision, seen: now, awaited });
         self.released = false;
     }
 }
--- a/crates/gcl-direct/src/right.rs
+++ b/crates/gcl-direct/src/right.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     gossip,
-    group::{self, Leader},
+    group::{self, Leader, Move},
     state::State as Daemon,
 };
 use gcl_core::{
@@ -27,15 +27,20 @@
 }
 
 /// Whether this daemon may use the primaries it knows: by its own lease, or by a loan of a peer's.
+#[must_use]
+pub fn holds(daemon: &Daemon, now: Now) -> bool {
+    holds_own(daemon, now) || now.mono < daemon.gossip.loan_until()
+}
+
+/// Whether this daemon may use the primaries it knows by its own lease.
 ///
 /// Once the lease is overdue, the daemon must also hear most of the others. A daemon that is cut off
 /// together with a primary would else acknowledge commits that no other server receives, and that
 /// are lost when the others move the primary.
 #[must_use]
-pub fn holds(daemon: &Daemon, now: Now) -> bool {
-    let lease = daemon.lease.holds(now.mono)
-        && (!daemon.lease.overdue(now.mono) || gossip::in_majority(daemon, now));
-    lease || now.mono < daemon.gossip.loan_until()
+pub fn holds_own(daemon: &Daemon, now: Now) -> bool {
+    daemon.lease.holds(now.mono)
+        && (!daemon.lease.overdue(now.mono) || gossip::in_majority(daemon, now))
 }
 
 /// When the right ends unless it is renewed.
@@ -50,14 +55,18 @@
 /// # Errors
 /// [`Code::NoPrimary`] with the reason.
 pub fn primary_for_statement(daemon: &Daemon, now: Now, database: &str) -> Result<id::Server> {
-    let group = daemon.groups.get(database).filter(|group| !group.released);
-    let moved = group.and_then(|group| group.moved.as_ref());
-    match moved.filter(|moved| moved.intention.planned && holds(daemon, now)) {
+    match unreleased(daemon, now, database).filter(|moved| moved.intention.planned) {
         Some(moved) => Ok(moved.intention.from.clone()),
         None => primary(daemon, now, database),
     }
 }
 
+/// The move of a primary that this daemon has not given up, and whose mover waits for it.
+fn unreleased<'a>(daemon: &'a Daemon, now: Now, database: &str) -> Option<&'a Move> {
+    let group = daemon.groups.get(database).filter(|group| !group.released)?;
+    group.moved.as_ref().filter(|moved| moved.awaited && holds_own(daemon, now))
+}
+
 /// The primary of a database, if this daemon may use it now.
 ///
 /// # Errors
@@ -86,7 +95,5 @@
         return true;
     }
     // Until this daemon acknowledges a move, the old primary is not superseded.
-    let group = daemon.groups.get(database).filter(|group| !group.released);
-    let moved = group.and_then(|group| group.moved.as_ref());
-    holds(daemon, now) && moved.is_some_and(|moved| moved.intention.from == server)
+    unreleased(daemon, now, database).is_some_and(|moved| moved.intention.from == server)
 }
--- a/crates/gcl-direct/tests/direct/failover.rs
+++ b/crates/gcl-direct/tests/direct/failover.rs
@@ -228,3 +228,28 @@
     fences.dedup();
     assert_eq!(fences.len(), 1, "{:?}", world.promotions);
 }
+
+/// A daemon that starts after a planned move finds its intention in the store; nobody waits for it
+/// to give the old primary up.
+#[test]
+fn a_daemon_that_starts_after_a_planned_move_does_not_use_the_old_primary() {
+    let mut world = World::new(2);
+    let sessions = warm(&mut world);
+    world.announce("a", |entry| entry.draining = true);
+    while world.promotions.is_empty() {
+        world.replicate();
+        world.run(50);
+    }
+    until_written(&mut world, &sessions);
+    world.kill(1);
+    world.boot(1);
+    while !world.nodes[1].ready {
+        world.run(1);
+    }
+    let session = world.login(1, "latest", "key");
+    for number in 0..20 {
+        let read = format!("READ new{number}");
+        world.query(session, &read).expect("the new primary serves it");
+        assert_eq!(world.ran("a", &read), 0, "read {number} ran at the old primary");
+    }
+}
