feat: explain a request from logs, check and reload of the platform's settings

goldcrest explain REQUEST FILE... joins the logs of daemons on the platform: the lines that name the request, what the daemons believed about its servers and themselves around it, and the cause by the last line that decided it. Refusals say database, need and configuration version, and statements that did not go well end in a line that is kept as long as other failures.

goldcrestd platform check [FILE] names every fault of the settings file at once with line and column. The file is read again at SIGHUP and when it changes; bounds and failure domains come into force, the rest is named as for the next start.

Fixed on the way: the first line of a process was written only with the next 16 KiB of lines, as the batch that it began ordered no flush (the reload test waited for ever for a line of an idle daemon).

--- a/crates/gcl-audit/src/lib.rs
+++ b/crates/gcl-audit/src/lib.rs
@@ -7,4 +7,5 @@
 pub mod read;
 pub mod replay;
 pub mod report;
+pub mod trail;
 pub mod verify;
--- /dev/null
+++ b/crates/gcl-audit/src/trail.rs
@@ -0,0 +1,340 @@
+//! The trail of one request through the logs of daemons on the users' platform.
+//!
+//! The logs are read twice: first for the lines that name the request, then for what the daemons
+//! believed about its servers, its database and themselves around that time. The last line that
+//! decided the request gives its cause. Machines' clocks differ, so the lines of several daemons
+//! may be out of order by that much.
+
+use indexmap::IndexSet;
+use serde::Deserialize;
+use serde_json::{Map, Value};
+use std::{fmt, io, io::BufRead, time::Duration};
+
+/// How long before a request beliefs may explain it: the longest patience with a silent primary.
+const BEFORE: Duration = Duration::from_secs(10);
+/// How long after a request lines may still tell of its cause: a move is logged when it is over.
+const AFTER: Duration = Duration::from_secs(2);
+/// Most lines of context that are kept.
+const MOST_CONTEXT: usize = 200;
+/// Events of a daemon that touch all its requests.
+const DAEMON_EVENTS: [&str; 17] = [
+    "started",
+    "process started",
+    "draining",
+    "stopped",
+    "store lost",
+    "store regained",
+    "right gained",
+    "right lost",
+    "right borrowed",
+    "lease not renewed",
+    "lease refused",
+    "configuration in force",
+    "configuration refused",
+    "readiness changed",
+    "daemon seen",
+    "daemon gone",
+    "lines left out",
+];
+
+/// The answer, or why a log cannot be read.
+pub type Result<T> = io::Result<T>;
+
+/// One line of a daemon's log.
+#[derive(Clone, Debug, Deserialize, PartialEq)]
+pub struct Line {
+    /// The daemon's wall clock in milliseconds.
+    pub at_ms: u64,
+    /// Time since the daemon started in milliseconds.
+    pub up_ms: u64,
+    /// The daemon.
+    pub daemon: String,
+    /// What happened.
+    pub event: String,
+    /// Inputs and outcome of the decision.
+    #[serde(flatten)]
+    pub fields: Map<String, Value>,
+}
+
+impl Line {
+    /// Reads a line; whatever stands before the object, such as a collector's prefix, is left aside.
+    #[must_use]
+    pub fn read(text: &str) -> Option<Self> {
+        serde_json::from_str(text.get(text.find('{')?..)?.trim_end()).ok()
+    }
+
+    /// A field as text.
+    #[must_use]
+    pub fn text(&self, name: &str) -> Option<&str> {
+        self.fields.get(name)?.as_str()
+    }
+
+    /// A field as a number.
+    #[must_use]
+    pub fn number(&self, name: &str) -> Option<u64> {
+        self.fields.get(name)?.as_u64()
+    }
+
+    fn is(&self, event: &str) -> bool {
+        self.event == event
+    }
+
+    /// Whether a field names one of the names given.
+    fn names(&self, fields: &[&str], names: &IndexSet<String>) -> bool {
+        fields.iter().filter_map(|field| self.text(field)).any(|name| names.contains(name))
+    }
+}
+
+impl fmt::Display for Line {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} {}", self.daemon, self.event)?;
+        for (name, value) in self.fields.iter().filter(|(name, _)| *name != "request") {
+            match value {
+                Value::String(text) if !text.contains(' ') => write!(f, " {name}={text}")?,
+                _ => write!(f, " {name}={value}")?,
+            }
+        }
+        Ok(())
+    }
+}
+
+/// What the logs tell of a request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Outcome {
+    /// The lines that name it, oldest first.
+    pub steps: Vec<Line>,
+    /// What the daemons believed around that time, oldest first.
+    pub context: Vec<Line>,
+    /// Lines of context beyond those kept.
+    pub unshown: usize,
+    /// Lines that the daemons left out around that time.
+    pub left_out: u64,
+    /// Why it ended as it did.
+    pub cause: String,
+}
+
+/// Follows a request through logs, each of which `open` opens twice.
+///
+/// # Errors
+/// A log cannot be read.
+pub fn explain<S, R: BufRead>(
+    request: &str,
+    sources: &[S],
+    open: impl Fn(&S) -> Result<R>,
+) -> Result<Outcome> {
+    let mut steps = Vec::new();
+    for source in sources {
+        each(open(source)?, |text| {
+            let named = text.contains(request).then(|| Line::read(text)).flatten();
+            steps.extend(named.filter(|line| line.text("request") == Some(request)));
+        })?;
+    }
+    steps.sort_by_key(|line: &Line| line.at_ms);
+    let Some(scope) = Scope::around(&steps) else {
+        return Ok(Outcome {
+            steps,
+            context: Vec::new(),
+            unshown: 0,
+            left_out: 0,
+            cause: "No line names this request. Either it never reached these daemons, or its \
+                    lines were among those left out: look for `lines left out`."
+                .into(),
+        });
+    };
+    let (mut context, mut unshown, mut left_out) = (Vec::new(), 0, 0);
+    for source in sources {
+        each(open(source)?, |text| {
+            let Some(line) = Line::read(text).filter(|line| scope.holds(line)) else { return };
+            left_out += line.number("count").filter(|_| line.is("lines left out")).unwrap_or(0);
+            if context.len() < MOST_CONTEXT {
+                context.push(line);
+            } else {
+                unshown += 1;
+            }
+        })?;
+    }
+    context.sort_by_key(|line: &Line| line.at_ms);
+    let cause = cause(&steps, &context, left_out);
+    Ok(Outcome { steps, context, unshown, left_out, cause })
+}
+
+fn each(mut source: impl BufRead, mut take: impl FnMut(&str)) -> Result<()> {
+    let mut bytes = Vec::new();
+    while source.read_until(b'\n', &mut bytes)? > 0 {
+        take(&String::from_utf8_lossy(&bytes));
+        bytes.clear();
+    }
+    Ok(())
+}
+
+/// Which lines may explain a request.
+struct Scope {
+    from_ms: u64,
+    until_ms: u64,
+    daemons: IndexSet<String>,
+    servers: IndexSet<String>,
+    databases: IndexSet<String>,
+}
+
+impl Scope {
+    fn around(steps: &[Line]) -> Option<Self> {
+        let (first, last) = (steps.first()?, steps.last()?);
+        let named = |field: &str| {
+            let names = steps.iter().filter_map(|line| line.text(field));
+            names.map(ToOwned::to_owned).collect()
+        };
+        Some(Self {
+            from_ms: first.at_ms.saturating_sub(millis(BEFORE)),
+            until_ms: last.at_ms + millis(AFTER),
+            daemons: steps.iter().map(|line| line.daemon.clone()).collect(),
+            servers: named("server"),
+            databases: named("database"),
+        })
+    }
+
+    fn holds(&self, line: &Line) -> bool {
+        if !(self.from_ms..=self.until_ms).contains(&line.at_ms) {
+            return false;
+        }
+        if line.fields.contains_key("request") {
+            return line.is("connection lost") && line.names(&["server"], &self.servers);
+        }
+        let own = self.daemons.contains(&line.daemon);
+        own && DAEMON_EVENTS.contains(&line.event.as_str())
+            || line.names(&["server", "from", "to"], &self.servers)
+            || line.names(&["database"], &self.databases)
+    }
+}
+
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
+/// Why a request ended as it did, from the last line that decided it.
+fn cause(steps: &[Line], context: &[Line], left_out: u64) -> String {
+    let refused = |line: &&Line| line.is("operation refused") || line.is("statement refused");
+    if let Some(line) = steps.iter().rfind(refused) {
+        return refusal(line, context);
+    }
+    let ended = steps.iter().rfind(|line| line.is("ended"));
+    match ended.and_then(|line| line.text("outcome")) {
+        Some("served") => served(steps, ended),
+        Some("in doubt" | "lost") => lost(steps, context),
+        Some("timeout") => {
+            let server = steps.iter().rev().find_map(|line| line.text("server"));
+            format!(
+                "{} did not answer in time. It is a read, so nothing was changed.",
+                server.unwrap_or("The server")
+            )
+        }
+        Some("failed") => "The server ran it and answered with an error of its own.".into(),
+        Some(other) => format!("It ended as `{other}`."),
+        None => format!(
+            "The logs do not show its end: it was still running, or its last lines were among the \
+             {left_out} left out."
+        ),
+    }
+}
+
+fn served(steps: &[Line], ended: Option<&Line>) -> String {
+    let took = ended.and_then(|line| line.number("took"));
+    let again = steps.iter().filter(|line| line.is("tried again")).count();
+    let took = took.map_or_else(String::new, |took| format!(" in {took} ms"));
+    format!("It was served{took}, after {} tries.", again + 1)
+}
+
+/// Why a statement was refused, of which nothing had run.
+fn refusal(line: &Line, context: &[Line]) -> String {
+    let fault = line.text("fault").unwrap_or_default();
+    let code = fault.split(' ').next().unwrap_or_default();
+    match code {
+        "G120" => rate(line, context),
+        "G121" => queue(line),
+        "G130" => primary(line, context),
+        _ => format!("Refused before anything ran: {fault}."),
+    }
+}
+
+fn rate(line: &Line, context: &[Line]) -> String {
+    let workspace = line.text("workspace").unwrap_or("The workspace");
+    let members = line.number("members").unwrap_or(0);
+    let moved = |line: &&Line| line.is("daemon seen") || line.is("daemon gone");
+    let moved = context.iter().filter(moved).count();
+    let shares = match moved {
+        0 => "no daemon had come or gone, so the workspace was over its rate".to_owned(),
+        _ => format!("{moved} daemons had come or gone just before, so the parts were moving"),
+    };
+    format!(
+        "{workspace} had used up this daemon's part of its rate, which {members} daemons share; \
+         {shares}."
+    )
+}
+
+fn queue(line: &Line) -> String {
+    let waited = line.number("waited").unwrap_or(0);
+    let tries = line.number("tries").unwrap_or(0);
+    let stage = line.text("stage").unwrap_or_default();
+    let server = stage.split('"').nth(1).unwrap_or("any server that may run it");
+    format!("No connection to {server} became free in {waited} ms, at try {tries}.")
+}
+
+/// Why no primary could be used: it was being moved, or this daemon had no right to use it.
+fn primary(line: &Line, context: &[Line]) -> String {
+    let moving = context.iter().rfind(|other| {
+        other.is("moving the primary") && other.text("database") == line.text("database")
+    });
+    if let Some(moving) = moving {
+        let field = |name| moving.text(name).unwrap_or("?");
+        let over = context.iter().find(|other| {
+            other.is("primary moved")
+                && other.text("database") == moving.text("database")
+                && other.at_ms >= moving.at_ms
+        });
+        let length = over.map_or_else(String::new, |over| {
+            format!(", which took {} ms", over.at_ms - moving.at_ms)
+        });
+        return format!(
+            "The primary of {} was being moved from {} to {} ({}){length}.",
+            field("database"),
+            field("from"),
+            field("to"),
+            field("cause"),
+        );
+    }
+    let right = context.iter().rfind(|other| {
+        other.daemon == line.daemon && (other.is("right lost") || other.is("lease not renewed"))
+    });
+    match right {
+        Some(lost) => format!(
+            "{} had no right to use primaries: `{lost}`. A daemon that cannot renew its lease \
+             needs the loan of one that can.",
+            line.daemon
+        ),
+        None => "No primary was known for the database, and no move of it was under way.".into(),
+    }
+}
+
+/// Why the answer of a statement was lost that had been sent.
+fn lost(steps: &[Line], context: &[Line]) -> String {
+    let Some(line) = steps.iter().rfind(|line| line.is("connection lost")) else {
+        return "Its answer was lost; the line that says how was left out.".into();
+    };
+    let server = line.text("server").unwrap_or("the server");
+    let reason = line.text("reason").unwrap_or("for no known reason");
+    let same = |other: &&Line| {
+        other.is("connection lost")
+            && other.text("server") == line.text("server")
+            && other.text("request") != line.text("request")
+            && other.at_ms.abs_diff(line.at_ms) <= 1_000
+    };
+    let others = context.iter().filter(same).count();
+    let doubt = if steps.iter().any(|line| line.text("outcome") == Some("in doubt")) {
+        "it may have taken effect"
+    } else {
+        "it changed nothing that lasts"
+    };
+    format!(
+        "It had been sent to {server} when the connection was lost ({reason}); {doubt}. {others} \
+         other statements lost their connection to {server} within a second."
+    )
+}
--- a/crates/gcl-audit/tests/audit/main.rs
+++ b/crates/gcl-audit/tests/audit/main.rs
@@ -5,4 +5,5 @@
 mod read;
 mod replay;
 mod report;
+mod trail;
 mod verify;
--- a/crates/gcl-cli/src/arguments.rs
+++ b/crates/gcl-cli/src/arguments.rs
@@ -27,6 +27,8 @@
                                 the servers that --to selects
     status                      show the daemon, its members and the homes of servers
     wait                        wait until a revision is in force everywhere
+    explain REQUEST FILE...     why a request ended as it did, from daemons' logs
+    audit, replay               read records and traces; each has a --help
 
 Exit codes: 0 done, 1 refused, 2 wrong usage or faulty file, 3 daemon unreachable,
 4 conflict, 5 outcome unknown.
--- /dev/null
+++ b/crates/gcl-cli/src/explain.rs
@@ -0,0 +1,66 @@
+//! `goldcrest explain`: why a request ended as it did, from the logs of the daemons it passed.
+
+use crate::exit::{Failure, Result};
+use gcl_audit::trail::{self, Line, Outcome};
+use std::{
+    fs::File,
+    io::{self, BufReader},
+};
+
+/// Usage of the command.
+const USAGE: &str = "Usage: goldcrest explain REQUEST FILE...
+
+Joins the logs of daemons on the users' platform: the lines that name the request, what the
+daemons believed around that time, and the cause.
+Exit codes: 0 the request was found, 1 no line names it, 2 usage or a log that cannot be read.";
+
+/// Runs the command with the arguments after its name.
+///
+/// # Errors
+/// [`Failure::Refused`] when no line names the request, [`Failure::Usage`] for a log that cannot be
+/// read.
+pub fn run(words: &[String]) -> Result<()> {
+    if words.iter().any(|word| word == "--help" || word == "-h") {
+        println!("{USAGE}");
+        return Ok(());
+    }
+    let [request, files @ ..] = words else { return Err(Failure::Usage(USAGE.to_owned())) };
+    if files.is_empty() {
+        return Err(Failure::Usage(USAGE.to_owned()));
+    }
+    let outcome = trail::explain(request, files, |path| {
+        let file = File::open(path);
+        let file = file.map_err(|error| io::Error::new(error.kind(), format!("{path}: {error}")));
+        file.map(BufReader::new)
+    });
+    let outcome = outcome.map_err(|error| Failure::Usage(error.to_string()))?;
+    if outcome.steps.is_empty() {
+        return Err(Failure::Refused(outcome.cause));
+    }
+    print(&outcome);
+    Ok(())
+}
+
+fn print(outcome: &Outcome) {
+    println!("The request:");
+    let start = outcome.steps.first().map_or(0, |line| line.at_ms);
+    outcome.steps.iter().for_each(|line| print_line(start, line));
+    if !outcome.context.is_empty() {
+        println!("What the daemons saw:");
+        outcome.context.iter().for_each(|line| print_line(start, line));
+    }
+    if outcome.unshown > 0 {
+        println!("  ... and {} lines more", outcome.unshown);
+    }
+    if outcome.left_out > 0 {
+        println!("  {} lines of that time were left out of the logs", outcome.left_out);
+    }
+    println!("Cause: {}", outcome.cause);
+}
+
+/// Prints a line with its time relative to the first line of the request.
+fn print_line(start: u64, line: &Line) {
+    let (sign, offset) =
+        if line.at_ms < start { ('-', start - line.at_ms) } else { ('+', line.at_ms - start) };
+    println!("  {:>9} {line}", format!("{sign}{offset} ms"));
+}
--- a/crates/gcl-cli/src/main.rs
+++ b/crates/gcl-cli/src/main.rs
@@ -8,6 +8,7 @@
 mod client;
 mod command;
 mod exit;
+mod explain;
 mod replay;
 mod secret;
 mod table;
@@ -22,6 +23,7 @@
     let words: Vec<String> = env::args().skip(1).collect();
     let result = match words.split_first() {
         Some((word, rest)) if word == "audit" => audit::run(rest),
+        Some((word, rest)) if word == "explain" => explain::run(rest),
         Some((word, rest)) if word == "replay" => replay::run(rest),
         _ => operate(&words),
     };
--- a/crates/gcl-core/src/settings/mod.rs
+++ b/crates/gcl-core/src/settings/mod.rs
@@ -6,7 +6,7 @@
 mod parse;
 pub mod schema;
 
-pub use self::parse::{Problem, Result, parse};
+pub use self::parse::{Problem, Result, Unknown, inspect, parse};
 
 use crate::id;
 use compact_str::CompactString;
--- a/crates/gcl-core/src/settings/parse.rs
+++ b/crates/gcl-core/src/settings/parse.rs
@@ -25,19 +25,21 @@
 /// The settings, or every fault that was found.
 pub type Result<T> = std::result::Result<T, Vec<Problem>>;
 
+/// What becomes of a field that the schema does not have.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Unknown {
+    /// It is a fault.
+    Refused,
+    /// It is left aside: another program writes the file, and may say more in it.
+    Ignored,
+}
+
 /// Reads settings from JSON with comments.
 ///
 /// # Errors
 /// Every fault with its line and column, in the order of the text.
 pub fn parse(text: &str) -> Result<Settings> {
-    let parsed = parse_to_ast(text, &CollectOptions::default(), &strict());
-    let value = parsed.map_err(|error| vec![Problem::syntax(text, &error)])?.value;
-    let mut walk = Walk { text, problems: Vec::new(), places: IndexMap::new() };
-    match &value {
-        Some(Value::Object(object)) => walk.object("", object, SETTINGS),
-        Some(other) => walk.fault(other.start(), "the settings are an object".to_owned()),
-        None => walk.fault(0, "the settings are empty".to_owned()),
-    }
+    let mut walk = walk(text, SETTINGS, Unknown::Refused)?;
     walk.finish()?;
     let settings = parse_to_serde_value(text, &strict());
     let settings: Settings = settings.map_err(|error| vec![Problem::syntax(text, &error)])?;
@@ -48,9 +50,30 @@
     Ok(settings)
 }
 
+/// Compares a text with a schema.
+///
+/// # Errors
+/// Every fault with its line and column, in the order of the text.
+pub fn inspect(text: &str, fields: &'static [Field], unknown: Unknown) -> Result<()> {
+    walk(text, fields, unknown)?.finish()
+}
+
+fn walk<'a>(text: &'a str, fields: &'static [Field], unknown: Unknown) -> Result<Walk<'a>> {
+    let parsed = parse_to_ast(text, &CollectOptions::default(), &strict());
+    let value = parsed.map_err(|error| vec![Problem::syntax(text, &error)])?.value;
+    let mut walk = Walk { text, unknown, problems: Vec::new(), places: IndexMap::new() };
+    match &value {
+        Some(Value::Object(object)) => walk.object("", object, fields),
+        Some(other) => walk.fault(other.start(), "the settings are an object".to_owned()),
+        None => walk.fault(0, "the settings are empty".to_owned()),
+    }
+    Ok(walk)
+}
+
 /// Compares a syntax tree with the schema.
 struct Walk<'a> {
     text: &'a str,
+    unknown: Unknown,
     /// Byte offsets and texts of the faults.
     problems: Vec<(usize, String)>,
     /// Byte offsets of the fields that were found, by path.
@@ -95,6 +118,7 @@
             seen.push(name);
             match fields.iter().find(|field| field.name == name) {
                 Some(field) => self.field(path, &property.value, field),
+                None if self.unknown == Unknown::Ignored => {}
                 None => self.fault(at, format!("{path} is not a setting")),
             }
         }
@@ -144,19 +168,42 @@
         Shape::Address => (text.is_some_and(is_address), "an \"ip:port\"".to_owned()),
         Shape::Url => (text.is_some_and(is_url), "a URL like \"http://ip:port\"".to_owned()),
         Shape::Flag => (value.as_boolean_lit().is_some(), "true or false".to_owned()),
+        Shape::Decimal { unit, most } => {
+            let number = value.as_number_lit().and_then(|number| number.value.parse().ok());
+            let good = number.is_some_and(|number: f64| (0.0..=f64::from(*most)).contains(&number));
+            (good, format!("a number from 0 to {most}{}", after_space(unit)))
+        }
+        Shape::Names => (names(value), "an object whose values are names".to_owned()),
+        Shape::Ports => (ports(value), "a list of the first and the last port".to_owned()),
         Shape::Object(_) => (false, "an object".to_owned()),
         Shape::List(_) => (false, "a list".to_owned()),
         Shape::Number { unit, range } => {
             let number = value.as_number_lit().and_then(|number| number.value.parse().ok());
             let good = number.is_some_and(|number: u64| range.contains(&number));
             let (least, most) = (range.start(), range.end());
-            let unit = if unit.is_empty() { String::new() } else { format!(" {unit}") };
-            (good, format!("a whole number from {least} to {most}{unit}"))
+            (good, format!("a whole number from {least} to {most}{}", after_space(unit)))
         }
     };
     if good { Ok(()) } else { Err(wanted) }
 }
 
+fn after_space(unit: &str) -> String {
+    if unit.is_empty() { String::new() } else { format!(" {unit}") }
+}
+
+fn names(value: &Value<'_>) -> bool {
+    let name = |value: &Value<'_>| value.as_string_lit().is_some_and(|text| is_name(&text.value));
+    let object = value.as_object();
+    object.is_some_and(|object| object.properties.iter().all(|entry| name(&entry.value)))
+}
+
+fn ports(value: &Value<'_>) -> bool {
+    let port = |value: &Value<'_>| value.as_number_lit()?.value.parse::<u16>().ok();
+    let ports = value.as_array().map(|array| array.elements.iter().map(port));
+    let ports: Option<Vec<u16>> = ports.and_then(Iterator::collect);
+    ports.is_some_and(|ports| matches!(*ports, [first, last] if first <= last))
+}
+
 /// What a name has to be.
 const NAME_WANTED: &str = "a name of 1 to 63 letters, digits, dots, hyphens and underscores";
 
--- a/crates/gcl-core/src/settings/schema.rs
+++ b/crates/gcl-core/src/settings/schema.rs
@@ -15,6 +15,17 @@
     Url,
     /// Yes or no.
     Flag,
+    /// A number that may have a fraction, zero or above, in a unit.
+    Decimal {
+        /// The unit, empty for a part or a count.
+        unit: &'static str,
+        /// The largest value accepted.
+        most: u32,
+    },
+    /// An object of names.
+    Names,
+    /// The first and the last port of a range.
+    Ports,
     /// A whole number in a unit.
     Number {
         /// The unit, empty for a count.
@@ -39,11 +50,15 @@
     pub required: bool,
 }
 
-const fn required(name: &'static str, shape: Shape) -> Field {
+/// A field that must be given.
+#[must_use]
+pub const fn required(name: &'static str, shape: Shape) -> Field {
     Field { name, shape, required: true }
 }
 
-const fn optional(name: &'static str, shape: Shape) -> Field {
+/// A field that may be left out.
+#[must_use]
+pub const fn optional(name: &'static str, shape: Shape) -> Field {
     Field { name, shape, required: false }
 }
 
--- a/crates/gcl-daemon/src/direct/journal.rs
+++ b/crates/gcl-daemon/src/direct/journal.rs
@@ -61,6 +61,8 @@
     pub fn start_line(&mut self, who: &str) {
         let line = Line::belief("process started").with("daemon_at", who);
         self.take(Now::default(), &line.with("version", env!("CARGO_PKG_VERSION")));
+        // Nothing orders a flush yet, and a batch that is not empty orders none.
+        self.flush();
     }
 
     /// Takes a line; true when the batch was empty before, so that a flush is to be ordered.
--- a/crates/gcl-daemon/src/direct/mod.rs
+++ b/crates/gcl-daemon/src/direct/mod.rs
@@ -8,9 +8,10 @@
 mod clock;
 mod journal;
 mod peer;
+mod reload;
 mod shell;
 
-use self::{clock::Clock, journal::Journal, shell::Shell};
+use self::{clock::Clock, journal::Journal, reload::Reload, shell::Shell};
 use actix::Actor;
 use eyre::WrapErr;
 use gcl_direct::state::State;
@@ -41,11 +42,12 @@
     runtime.expect("the operating system grants an event queue")
 }
 
-/// Runs a daemon until it is told to stop and has nothing left to do.
+/// Runs a daemon until it is told to stop and has nothing left to do; `path` is the settings file
+/// that `process` was read from.
 ///
 /// # Errors
 /// A port cannot be opened, or a client not be set up.
-pub async fn run(process: Process, seed: u64) -> eyre::Result<()> {
+pub async fn run(path: String, process: Process, seed: u64) -> eyre::Result<()> {
     let name = process.settings.daemon.clone();
     let mut journal = Journal::start(name.clone()).wrap_err("cannot write a log")?;
     journal.start_line(&settings::describe(&process));
@@ -59,13 +61,14 @@
     let (socket, heard) = peer::Socket::open(process.peers).await?;
     let (exit, exited) = oneshot::channel();
     let shell = Shell {
-        state: State::new(process.settings, seed),
+        state: State::new(process.settings.clone(), seed),
         clock: Clock::start(),
         journal,
         probe,
         peers: socket,
         store: store::Client::new(process.store)?,
         promotion: promotion::Client::new(process.promotion, name)?,
+        reload: Reload::new(path, process),
         links: shell::Links::new(exit),
     };
     let shell = shell.start();
@@ -85,7 +88,7 @@
             tokio::select! {
                 _ = terminate.recv() => shell.do_send(shell::Stop),
                 _ = interrupt.recv() => shell.do_send(shell::Stop),
-                _ = reload.recv() => shell.do_send(shell::Reload),
+                _ = reload.recv() => shell.do_send(shell::Reread),
             }
         }
     });
--- a/crates/gcl-daemon/src/direct/shell.rs
+++ b/crates/gcl-daemon/src/direct/shell.rs
@@ -5,6 +5,7 @@
     clock::Clock,
     journal::{self, Journal},
     peer,
+    reload::{self, Reload},
 };
 use crate::metric;
 use actix::{Actor, AsyncContext, Context, Handler, Message, SpawnHandle};
@@ -49,10 +50,10 @@
 #[rtype(result = "()")]
 pub struct Stop;
 
-/// The settings file changed.
+/// The settings file is to be read again.
 #[derive(Debug, Message)]
 #[rtype(result = "()")]
-pub struct Reload;
+pub struct Reread;
 
 /// The actor around the reducer.
 #[derive(Debug)]
@@ -71,6 +72,8 @@
     pub store: Client,
     /// Orders promotions.
     pub promotion: promotion::Client,
+    /// The settings file.
+    pub reload: Reload,
     /// What the actor keeps for itself.
     pub links: Links,
 }
@@ -184,6 +187,20 @@
         });
     }
 
+    /// Takes what the settings file holds now, if that is new.
+    fn reloaded(&mut self, ctx: &mut Context<Self>, read: eyre::Result<Option<Event>>) {
+        match read {
+            Ok(Some(event)) => self.step(ctx, event),
+            Ok(None) => {}
+            Err(error) => {
+                let line =
+                    Line::belief("settings refused").with("error", format_args!("{error:#}"));
+                let now = self.clock.now();
+                self.log(ctx, now, &line);
+            }
+        }
+    }
+
     /// Ends the process once the log is written and the last call to the store had its time.
     fn exit(&mut self, ctx: &mut Context<Self>) {
         self.journal.flush();
@@ -202,6 +219,10 @@
 
     fn started(&mut self, ctx: &mut Self::Context) {
         self.step(ctx, Event::Started);
+        ctx.run_interval(reload::POLL, |shell, ctx| {
+            let read = shell.reload.poll();
+            shell.reloaded(ctx, read);
+        });
     }
 }
 
@@ -242,13 +263,11 @@
     }
 }
 
-impl Handler<Reload> for Shell {
+impl Handler<Reread> for Shell {
     type Result = ();
 
-    fn handle(&mut self, _reload: Reload, ctx: &mut Self::Context) {
-        let line = Line::belief("reload asked for");
-        let line = line.with("outcome", "settings of a process are read at its start only");
-        let now = self.clock.now();
-        self.log(ctx, now, &line);
+    fn handle(&mut self, _reread: Reread, ctx: &mut Self::Context) {
+        let read = self.reload.read();
+        self.reloaded(ctx, read);
     }
 }
--- a/crates/gcl-daemon/src/main.rs
+++ b/crates/gcl-daemon/src/main.rs
@@ -3,7 +3,7 @@
 use eyre::{WrapErr, bail};
 use gcl_core::settings::{self, Settings};
 use gcl_daemon::{daemon, direct, log};
-use gcl_platform::settings as platform;
+use gcl_platform::settings::{self as platform, Process};
 use getopts::Options;
 use metrics_exporter_prometheus::PrometheusBuilder;
 use std::{
@@ -42,6 +42,8 @@
         ["check", path] => check(path),
         ["run", path] => run(path, matches.opt_str("record")),
         ["platform"] => run_on_platform(),
+        ["platform", "check"] => check_platform(None),
+        ["platform", "check", path] => check_platform(Some(path)),
         _ => {
             eprint!("{}", options.usage(USAGE));
             ExitCode::from(EXIT_USAGE)
@@ -52,9 +54,12 @@
 const USAGE: &str = "Usage: goldcrestd [options] run FILE
        goldcrestd [options] check FILE
        goldcrestd platform
+       goldcrestd platform check [FILE]
 
 Runs a daemon with the settings in FILE, checks the settings, or runs a daemon
-on the platform that names its settings file in the environment.
+on the platform that names its settings file in the environment. A check prints
+every fault with its line and column; the platform's file is the one that the
+environment names unless another is given.
 Exit codes: 0 success, 1 failure, 2 usage, 3 faults in the settings.";
 
 fn options() -> Options {
@@ -104,16 +109,39 @@
     }
 }
 
-fn run_on_platform() -> ExitCode {
-    let process = match platform::read() {
-        Ok(process) => process,
-        Err(error) => {
-            eprintln!("goldcrestd: {error}");
-            return ExitCode::from(EXIT_SETTINGS);
+/// Finds and reads the platform's settings file.
+fn read_platform(path: Option<&str>) -> platform::Result<(String, Process)> {
+    let path = path.map_or_else(platform::path, |path| Ok(path.to_owned()))?;
+    let process = platform::read(&path)?;
+    Ok((path, process))
+}
+
+/// Prints why the platform's settings cannot be used.
+fn refuse_platform(error: &platform::Error) -> ExitCode {
+    match error {
+        platform::Error::Malformed(..) => eprintln!("{error}"),
+        _ => eprintln!("goldcrestd: {error}"),
+    }
+    ExitCode::from(EXIT_SETTINGS)
+}
+
+fn check_platform(path: Option<&str>) -> ExitCode {
+    match read_platform(path) {
+        Ok((path, process)) => {
+            println!("{path}: the settings of {} are valid", process.settings.daemon);
+            ExitCode::SUCCESS
         }
+        Err(error) => refuse_platform(&error),
+    }
+}
+
+fn run_on_platform() -> ExitCode {
+    let (path, process) = match read_platform(None) {
+        Ok(read) => read,
+        Err(error) => return refuse_platform(&error),
     };
     let system = actix_rt::System::with_tokio_rt(direct::runtime);
-    match system.block_on(direct::run(process, seed())) {
+    match system.block_on(direct::run(path, process, seed())) {
         Ok(()) => ExitCode::SUCCESS,
         Err(error) => {
             eprintln!("goldcrestd: {error:?}");
--- a/crates/gcl-daemon/tests/platform/main.rs
+++ b/crates/gcl-daemon/tests/platform/main.rs
@@ -2,9 +2,15 @@
 
 use gcl_platform_standin::{
     caller::Caller,
-    deployment::{Deployment, KEY, SERVICE},
+    deployment::{Daemon, Deployment, KEY, SERVICE},
+};
+use serde_json::{Value, json};
+use std::{
+    env, fs,
+    path::Path,
+    process::{self, Command},
+    time::Duration,
 };
-use std::{env, fs, path::Path, process};
 
 /// Starts a deployment whose settings and logs lie in a directory of the test's name.
 async fn start(test: &str, daemons: usize) -> Deployment {
@@ -98,3 +104,50 @@
     let mut caller = connect(&deployment, 1, SERVICE).await;
     caller.query("WRITE t1 booked").await.expect("it is written");
 }
+
+/// Changes a daemon's settings file.
+fn rewrite(path: &Path, change: impl FnOnce(&mut Value)) {
+    let text = fs::read_to_string(path).expect("the file is there");
+    let mut settings: Value = serde_json::from_str(&text).expect("it is JSON");
+    change(&mut settings);
+    fs::write(path, settings.to_string()).expect("it can be written");
+}
+
+/// Waits for a line of a daemon's log.
+async fn wait_for(daemon: &Daemon, text: &str) {
+    while !daemon.log().contains(text) {
+        tokio::time::sleep(Duration::from_millis(20)).await;
+    }
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn settings_are_read_again_without_a_cut() {
+    let deployment = start("reload", 1).await;
+    let daemon = &deployment.daemons[0];
+    let mut caller = connect(&deployment, 0, SERVICE).await;
+    caller.query("BEGIN").await.expect("it begins");
+    rewrite(&daemon.settings, |settings| {
+        settings["bounds"]["quota_slack"] = json!(40);
+        settings["listen"]["front"] = json!("127.0.0.1:1");
+    });
+    daemon.signal("-HUP").expect("the signal is sent");
+    let line = r#""in_force":"bounds","at_next_start":"callers' address""#;
+    wait_for(daemon, line).await;
+    fs::write(&daemon.settings, "{").expect("it can be written");
+    wait_for(daemon, "settings refused").await;
+    caller.query("WRITE t1 booked").await.expect("the session goes on");
+    caller.query("COMMIT").await.expect("it commits");
+}
+
+#[test]
+fn a_check_names_every_fault_of_the_settings() {
+    let path = env::temp_dir().join(format!("goldcrest-{}-check.json", process::id()));
+    fs::write(&path, "{\"node\": \"d 1\",\n \"zone\": 7}").expect("it can be written");
+    let mut check = Command::new(env!("CARGO_BIN_EXE_goldcrestd"));
+    let check = check.args(["platform", "check"]).arg(&path).output().expect("it runs");
+    assert_eq!(check.status.code(), Some(3));
+    let faults = String::from_utf8(check.stderr).expect("it is text");
+    for fault in [":1:10: node is a name", ":2:10: zone is a name", ":1:1: bounds is missing"] {
+        assert!(faults.contains(fault), "{fault} in {faults}");
+    }
+}
--- a/crates/gcl-direct/src/event.rs
+++ b/crates/gcl-direct/src/event.rs
@@ -1,6 +1,6 @@
 //! Everything that can happen to a daemon, as one type.
 
-use crate::{backend, caller, gossip::Digest, store};
+use crate::{backend, caller, gossip::Digest, settings::Settings, store};
 use gcl_core::{code::Fault, id};
 
 /// Something that happened, fed to the reducer with the time.
@@ -23,6 +23,13 @@
     },
     /// Another daemon tells what it believes.
     Peer(Box<Digest>),
+    /// The settings file was read again.
+    Settings {
+        /// What it holds now.
+        settings: Box<Settings>,
+        /// Settings of the shell that changed and stay as they were until the next start.
+        kept: Vec<&'static str>,
+    },
     /// A timer may be due.
     Wake,
     /// The process was told to stop.
--- a/crates/gcl-direct/src/reduce.rs
+++ b/crates/gcl-direct/src/reduce.rs
@@ -9,6 +9,7 @@
     failover, follow, gossip,
     line::Line,
     member, pool, request, right, session,
+    settings::Settings,
     state::State,
     timer,
 };
@@ -31,6 +32,7 @@
             failover::on_promoted(state, now, &mut fx, &database, result);
         }
         Event::Peer(digest) => gossip::on_digest(state, now, &mut fx, &digest),
+        Event::Settings { settings, kept } => on_settings(state, &mut fx, *settings, kept),
         Event::Wake => {}
         Event::Stop => drain::start(state, now, &mut fx),
     }
@@ -41,6 +43,18 @@
     fx.take()
 }
 
+fn on_settings(
+    state: &mut State,
+    fx: &mut Effects,
+    settings: Settings,
+    mut kept: Vec<&'static str>,
+) {
+    let outcome = state.settings.reload(settings);
+    kept.extend(outcome.kept);
+    let line = Line::belief("settings read again").with("in_force", outcome.applied.join(", "));
+    fx.log(line.with("at_next_start", kept.join(", ")));
+}
+
 /// A daemon is ready for callers while it can serve them and does not drain.
 fn report_readiness(state: &mut State, now: Now, fx: &mut Effects) {
     let ready = state.drain == drain::State::Serving && member::can_serve(state, now);
--- a/crates/gcl-direct/src/request/mod.rs
+++ b/crates/gcl-direct/src/request/mod.rs
@@ -42,6 +42,9 @@
 /// When to come back after a refusal for lack of slots.
 const BUSY_RETRY: Duration = Duration::from_millis(250);
 
+/// The outcome of a statement that a server ran.
+const SERVED: &str = "served";
+
 /// Where a statement stands.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub enum Stage {
@@ -99,6 +102,8 @@
         let workspace = daemon.sessions.get(&session).map(|entry| entry.workspace.clone());
         let line = Line::failure("operation refused").with("request", request);
         let line = line.with("session", session).with("members", daemon.members.len());
+        let version = daemon.config.as_ref().map_or(0, |config| config.version);
+        let line = line.with("version", version);
         let line = line.with("workspace", workspace.unwrap_or_default());
         fx.log(line.with("fault", fault));
     }
@@ -226,6 +231,8 @@
     };
     fx.count("gcl_refused", fault.code.text().trim());
     let line = Line::failure("statement refused").with("request", &request.query.id);
+    let line = line.with("database", &request.route.database);
+    let line = line.with("need", format_args!("{:?}", request.need)).mark("after", request.after);
     let line = line.with("tries", request.tries).with("stage", format_args!("{:?}", request.stage));
     fx.log(line.millis("waited", now.since(request.arrived)).with("fault", &fault));
     let commit = request.query.statement == Statement::Commit;
@@ -273,7 +280,8 @@
         let took = now.since(request.arrived);
         fx.count("gcl_statements", outcome);
         fx.observe("gcl_statement_seconds", &request.route.rule, took);
-        let line = Line::routine("ended").with("request", &request.query.id);
+        let line = if outcome == SERVED { Line::routine("ended") } else { Line::failure("ended") };
+        let line = line.with("request", &request.query.id).with("rule", &request.route.rule);
         fx.log(line.with("outcome", outcome).millis("took", took));
     }
 }
--- a/crates/gcl-direct/src/request/outcome.rs
+++ b/crates/gcl-direct/src/request/outcome.rs
@@ -1,6 +1,6 @@
 //! What a server's answer, or the loss of it, means for the caller.
 
-use super::{BUSY_RETRY, Stage, attempt::retry, finish};
+use super::{BUSY_RETRY, SERVED, Stage, attempt::retry, finish};
 use crate::{
     backend::{Answer, Refusal},
     caller::Reply,
@@ -93,7 +93,7 @@
         let floor = entry.floors.entry(request.route.database.clone()).or_default();
         *floor = mark.max(*floor);
     }
-    finish(daemon, now, fx, session, "served");
+    finish(daemon, now, fx, session, SERVED);
     if committed {
         let ended = daemon.connections.get(&connection);
         debug_assert!(ended.is_none_or(|known| !known.in_transaction));
--- a/crates/gcl-direct/src/settings.rs
+++ b/crates/gcl-direct/src/settings.rs
@@ -35,7 +35,40 @@
     pub bounds: Bounds,
 }
 
+/// What became of new settings.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Outcome {
+    /// Settings that changed and are in force.
+    pub applied: Vec<&'static str>,
+    /// Settings that changed in the file and are in force from the next start on.
+    pub kept: Vec<&'static str>,
+}
+
 impl Settings {
+    /// Takes over what may change while the daemon runs: the map of failure domains and the bounds.
+    /// Who the daemon is and where it listens stay as they were at its start.
+    pub fn reload(&mut self, new: Self) -> Outcome {
+        let mut outcome = Outcome::default();
+        for (name, same) in [
+            ("daemon", self.daemon == new.daemon),
+            ("domain", self.domain == new.domain),
+            ("peer address", self.peer_address == new.peer_address),
+        ] {
+            if !same {
+                outcome.kept.push(name);
+            }
+        }
+        if self.regions != new.regions {
+            self.regions = new.regions;
+            outcome.applied.push("regions");
+        }
+        if self.bounds != new.bounds {
+            self.bounds = new.bounds;
+            outcome.applied.push("bounds");
+        }
+        outcome
+    }
+
     /// How far a failure domain is: zero for the daemon's own, one for its region, two beyond.
     #[must_use]
     pub fn distance(&self, domain: &str) -> u8 {
--- a/crates/gcl-direct/tests/direct/main.rs
+++ b/crates/gcl-direct/tests/direct/main.rs
@@ -19,5 +19,6 @@
 mod queue;
 mod request;
 mod session;
+mod settings;
 mod timer;
 mod world;
--- a/crates/gcl-direct/tests/direct/world.rs
+++ b/crates/gcl-direct/tests/direct/world.rs
@@ -343,7 +343,7 @@
         self.announce(name, |entry| entry.leads = true);
     }
 
-    fn feed(&mut self, daemon: usize, event: Event) {
+    pub fn feed(&mut self, daemon: usize, event: Event) {
         let now = self.now(daemon);
         for effect in reduce(&mut self.nodes[daemon].state, now, event) {
             self.carry_out(daemon, effect);
