fix(member): a daemon that starts as the store goes away gains its right afterwards

Cause: when the write of a daemon's own key failed, the key was read again before the next write. When that read failed too, the timer that it armed did nothing at that stage, and the daemon waited for ever: 2 writes and 5 reads in 33 s, and every statement for a primary refused for want of a lease.

Ruled out: a call to the store that never returns (the counters show that each was answered).

Change: the timer reads the key again while a write is outstanding that is not in flight, also when the lease is held.

--- a/crates/gcl-direct/src/member.rs
+++ b/crates/gcl-direct/src/member.rs
@@ -26,11 +26,17 @@
 
 /// Does what is due for the lease.
 pub fn on_timer(daemon: &mut Daemon, now: Now, fx: &mut Effects) {
+    let unwritten = daemon.lease.changed && daemon.lease.call.is_none();
     match daemon.lease.stage {
         Stage::None => start(daemon, now, fx),
-        Stage::Asked | Stage::Writing => {}
-        Stage::Reading => fx.store(Call::Read(Topic::Own)),
+        Stage::Asked => {}
+        Stage::Writing if !unwritten => {}
+        // A write that failed is made again once the key has been read.
+        Stage::Writing | Stage::Reading => fx.store(Call::Read(Topic::Own)),
         Stage::Held => {
+            if unwritten {
+                fx.store(Call::Read(Topic::Own));
+            }
             daemon.lease.sent = now.mono;
             fx.store(Call::Renew(daemon.lease.lease));
         }
--- a/crates/gcl-direct/tests/direct/gossip.rs
+++ b/crates/gcl-direct/tests/direct/gossip.rs
@@ -74,3 +74,17 @@
     assert_eq!(priced, 0, "{:?}", world.calls);
     assert!(world.calls["renew"] <= 5 * 18, "{:?}", world.calls);
 }
+
+/// The store goes away between the grant of a daemon's lease and the write of its key.
+#[test]
+fn a_daemon_that_starts_as_the_store_goes_away_gains_its_right_afterwards() {
+    let mut world = World::new(2);
+    world.kill(1);
+    world.boot(1);
+    world.outage(Some(1), true);
+    world.run(2500);
+    assert_ne!(world.nodes[1].state.lease.lease, 0, "the lease was granted before the outage");
+    world.outage(Some(1), false);
+    world.run(3000);
+    assert!(world.nodes[1].state.lease.holds(world.now(1).mono), "the right was gained");
+}
--- a/crates/gcl-direct/tests/direct/world.rs
+++ b/crates/gcl-direct/tests/direct/world.rs
@@ -279,7 +279,7 @@
         self.queue.insert((self.now_ms + wait, self.order), what);
     }
 
-    fn now(&self, daemon: usize) -> Now {
+    pub fn now(&self, daemon: usize) -> Now {
         Now::at(Duration::from_millis(self.now_ms - self.nodes[daemon].boot_ms))
     }
 
