feat(gossip): large fleets tell each other by cells; few connections where daemons outnumber them

Each daemon told each other one, and once a daemon was heard for the first time all were told again.

Change: beyond 72 daemons they form cells of about the root of their number. A cell is a mesh; sums of demands and of opinions on primaries go between delegates and are passed on. Acknowledgements go to who moves a primary. With more daemons than a server accepts connections, a daemon opens one at most and keeps none beyond the part that is shared out.

Figures: a test of 100 daemons that tell 20 digests a second at most; sums over 80 daemons count each once. Fleets of up to 72 daemons are as before.

--- a/crates/gcl-direct/src/failover/mod.rs
+++ b/crates/gcl-direct/src/failover/mod.rs
@@ -77,6 +77,18 @@
     }
 }
 
+/// Looks at the moves of primaries that are under way.
+pub fn review_moves(daemon: &mut Daemon, now: Now, fx: &mut Effects) {
+    let open = |database: &id::Database| {
+        let moved = daemon.groups.get(database).is_some_and(|group| group.moved.is_some());
+        moved && !settled(daemon, database)
+    };
+    let databases: Vec<_> = daemon.groups.keys().filter(|name| open(name)).cloned().collect();
+    for database in databases {
+        review(daemon, now, fx, &database);
+    }
+}
+
 /// Looks at a database's primary, and does what is due for it.
 pub fn review(daemon: &mut Daemon, now: Now, fx: &mut Effects, database: &id::Database) {
     note_leader(daemon, now, database);
@@ -101,7 +113,11 @@
         gossip::alarm(daemon, now);
     }
     let evidence = gather(daemon, now, fx, database, cause);
-    let due = since + evidence.patience() + RANK_STEP * rank;
+    let detour = match cause {
+        Cause::Gone | Cause::Silent => gossip::detour(daemon),
+        _ => Duration::ZERO,
+    };
+    let due = since + evidence.patience() + detour + RANK_STEP * rank;
     if now.mono >= due {
         claim(daemon, now, fx, database, cause);
     }
--- a/crates/gcl-direct/src/gossip.rs
+++ b/crates/gcl-direct/src/gossip.rs
@@ -9,10 +9,14 @@
 //! - a loan of its right to use primaries, for a daemon that cannot renew its own lease. A lender
 //!   acknowledges an intention only once its borrowers have, or their loans have run out.
 //!
+//! In a fleet too large for that, digests go to the daemons of the own cell, and [`Summary`]s of
+//! whole cells between delegates ([`crate::cell`]).
+//!
 //! No clocks are compared: a digest carries the time of the last one that its sender had from the
 //! receiver, and for how long it has held it. A loan runs from that time.
 
 use crate::{
+    cell::{self, Layout},
     drain,
     effect::{Effect, Effects},
     failover,
@@ -51,6 +55,10 @@
 const FORGOTTEN_ROUNDS: u32 = 8;
 /// Longest loan of the right to use primaries.
 const LOAN: Duration = Duration::from_millis(1500);
+/// Age beyond which a cell counts as out of reach: its sums come by two steps, each a round late.
+const CELL_SILENCE: Duration = Duration::from_secs(5);
+/// Rounds that news from another cell may take more than news of the own.
+const DETOUR_ROUNDS: u32 = 3;
 /// What a loan ends before it is due, for the way of an answer through the daemon.
 const MARGIN: Duration = Duration::from_millis(100);
 /// What is left of the lease when loans are asked for.
@@ -82,6 +90,34 @@
     pub mark: Option<Mark>,
 }
 
+/// What the daemons of one cell believe together.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Summary {
+    /// The cell.
+    pub cell: cell::Number,
+    /// How long ago it was summed up.
+    pub age: Duration,
+    /// Daemons in it that hear each other.
+    pub heard: u32,
+    /// Sums of what they are asked for, as in [`Digest::demands`].
+    pub demands: Vec<(id::Workspace, f32, f32)>,
+    /// Primaries in doubt.
+    pub opinions: Vec<Opinion>,
+}
+
+/// What the daemons of one cell say of a primary.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Opinion {
+    /// The primary.
+    pub server: id::Server,
+    /// Daemons that it answers.
+    pub answering: u32,
+    /// Daemons that it does not answer.
+    pub silent: u32,
+    /// The newest log position that it answered with.
+    pub mark: Option<Mark>,
+}
+
 /// The last digest that the sender had from the receiver.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Echo {
@@ -120,6 +156,8 @@
     pub alarm: bool,
     /// Primaries that the sender uses, while one is in doubt.
     pub reaches: Vec<Reach>,
+    /// To a delegate, the sender's cell; to the sender's cell, those it is the delegate to.
+    pub summaries: Vec<Summary>,
 }
 
 /// What is known of another daemon from its digests.
@@ -130,9 +168,20 @@
     lent_until: Duration,
 }
 
+/// Another cell, as it was last heard of.
+#[derive(Clone, Debug)]
+struct Cell {
+    summary: Summary,
+    summed: Duration,
+    /// Whether its own delegate told.
+    direct: bool,
+}
+
 /// What daemons have told this one.
 #[derive(Clone, Debug, Default)]
 pub struct State {
+    layout: Layout,
+    cells: IndexMap<cell::Number, Cell>,
     peers: IndexMap<id::Daemon, Peer>,
     loan_until: Duration,
     told: Duration,
@@ -148,6 +197,23 @@
         self.loan_until
     }
 
+    /// Whom this daemon tells.
+    #[must_use]
+    pub const fn layout(&self) -> &Layout {
+        &self.layout
+    }
+
+    /// Other cells that are heard of; none in a mesh.
+    fn cells(&self, now: Now) -> impl Iterator<Item = &Cell> {
+        let known = self.cells.iter().filter(|(number, _)| **number < self.layout.cells);
+        known.map(|(_, cell)| cell).filter(move |cell| now.since(cell.summed) < CELL_SILENCE)
+    }
+
+    /// Whether a daemon tells this one of itself alone: one in another cell counts in its sum.
+    fn counts(&self, name: &str) -> bool {
+        self.layout.cells <= 1 || self.layout.mates.contains(name)
+    }
+
     /// The digests of daemons that are heard.
     fn heard(&self, now: Now) -> impl Iterator<Item = (&id::Daemon, &Digest)> {
         let heard = self.peers.iter().filter(move |(_, peer)| now.since(peer.heard) < SILENCE);
@@ -171,7 +237,10 @@
     #[must_use]
     pub fn mark(&self, server: &str) -> Option<Mark> {
         let reaches = self.peers.values().flat_map(|peer| &peer.digest.reaches);
-        reaches.filter(|reach| reach.server == *server).filter_map(|reach| reach.mark).max()
+        let told = reaches.filter(|reach| reach.server == *server).filter_map(|reach| reach.mark);
+        let summed = self.cells.values().flat_map(|cell| &cell.summary.opinions);
+        let summed = summed.filter(|it| it.server == *server).filter_map(|it| it.mark);
+        told.chain(summed).max()
     }
 }
 
@@ -196,6 +265,19 @@
     })
 }
 
+/// Adds what was told of a workspace some time ago, carried on at its pace.
+fn add(
+    sum: &mut limit::Demand,
+    told: &[(id::Workspace, f32, f32)],
+    workspace: &id::Workspace,
+    age: Duration,
+) {
+    if let Some((_, asked, pace)) = told.iter().find(|(name, ..)| name == workspace) {
+        sum.asked += f64::from(*pace).mul_add(age.as_secs_f64(), f64::from(*asked));
+        sum.pace += f64::from(*pace);
+    }
+}
+
 /// How the daemons share a workspace's rate.
 #[must_use]
 pub fn spread(daemon: &Daemon, now: Now, workspace: &id::Workspace) -> limit::Spread {
@@ -203,17 +285,17 @@
     let (mut members, mut heard) = (daemon.members.len().max(1), 1);
     for (name, peer) in &daemon.gossip.peers {
         let age = now.since(peer.heard);
-        if age >= period(daemon) * FORGOTTEN_ROUNDS {
+        if age >= period(daemon) * FORGOTTEN_ROUNDS || !daemon.gossip.counts(name) {
             continue;
         }
         heard += 1;
         // A daemon that the store turns away serves on a loan, though it is no longer listed.
         members += usize::from(!daemon.members.contains_key(name));
-        let demand = peer.digest.demands.iter().find(|(name, ..)| name == workspace);
-        if let Some((_, asked, pace)) = demand {
-            others.asked += f64::from(*pace).mul_add(age.as_secs_f64(), f64::from(*asked));
-            others.pace += f64::from(*pace);
-        }
+        add(&mut others, &peer.digest.demands, workspace, age);
+    }
+    for cell in daemon.gossip.cells(now) {
+        heard += usize::try_from(cell.summary.heard).unwrap_or(usize::MAX);
+        add(&mut others, &cell.summary.demands, workspace, now.since(cell.summed));
     }
     limit::Spread { members, heard, others }
 }
@@ -226,7 +308,11 @@
     let mut known: IndexSet<_> = daemon.follow.recent_members(now).collect();
     known.extend(told.map(|(name, _)| name));
     known.swap_remove(&daemon.settings.daemon);
-    (known.len(), daemon.gossip.heard(now).filter(|(name, _)| known.contains(name)).count())
+    let counts = |name: &id::Daemon| known.contains(name) && daemon.gossip.counts(name);
+    let heard = daemon.gossip.heard(now).filter(|(name, _)| counts(name)).count();
+    let cells = daemon.gossip.cells(now);
+    let cells = cells.map(|cell| usize::try_from(cell.summary.heard).unwrap_or(usize::MAX));
+    (known.len(), heard + cells.sum::<usize>())
 }
 
 /// Whether another daemon is heard that serves callers.
@@ -245,10 +331,22 @@
 /// How many daemons that are heard reach a primary, and how many do not.
 #[must_use]
 pub fn opinions(daemon: &Daemon, now: Now, server: &id::Server) -> (usize, usize) {
-    let reaches = daemon.gossip.heard(now).flat_map(|(_, digest)| &digest.reaches);
+    let digests = daemon.gossip.heard(now).filter(|(name, _)| daemon.gossip.counts(name));
+    let reaches = digests.flat_map(|(_, digest)| &digest.reaches);
     let (answering, silent): (Vec<_>, Vec<_>) =
         reaches.filter(|reach| reach.server == *server).partition(|reach| reach.answers);
-    (answering.len(), silent.len())
+    let cells = daemon.gossip.cells(now).flat_map(|cell| &cell.summary.opinions);
+    let cells = cells.filter(|opinion| opinion.server == *server);
+    let count = |number: u32| usize::try_from(number).unwrap_or(usize::MAX);
+    cells.fold((answering.len(), silent.len()), |(answering, silent), opinion| {
+        (answering + count(opinion.answering), silent + count(opinion.silent))
+    })
+}
+
+/// What daemons of other cells need to say whether they reach a primary, beyond those of the own.
+#[must_use]
+pub fn detour(daemon: &Daemon) -> Duration {
+    if daemon.gossip.layout.cells > 1 { URGENT_PERIOD * DETOUR_ROUNDS } else { Duration::ZERO }
 }
 
 /// Begins to tell other daemons.
@@ -271,7 +369,11 @@
 
 /// The time between rounds of digests.
 fn period(daemon: &Daemon) -> Duration {
-    let fleet = u32::try_from(daemon.members.len().max(FLEET)).unwrap_or(u32::MAX);
+    let told = match daemon.gossip.layout.cells {
+        0 | 1 => daemon.members.len(),
+        _ => daemon.gossip.layout.mates.len(),
+    };
+    let fleet = u32::try_from(told.max(FLEET)).unwrap_or(u32::MAX);
     PERIOD * fleet / u32::try_from(FLEET).unwrap_or(u32::MAX)
 }
 
@@ -291,10 +393,13 @@
     daemon.timers.arm(timer::Key::Gossip, now.mono + period);
     daemon.gossip.told = now.mono;
     daemon.gossip.round = daemon.gossip.round.wrapping_add(1);
-    let to_all = std::mem::take(&mut daemon.gossip.to_all)
-        || urgent
-        || daemon.members.len() <= FLEET
-        || daemon.gossip.round.is_multiple_of(FAR_ROUNDS);
+    let to_all = std::mem::take(&mut daemon.gossip.to_all) || urgent;
+    daemon.gossip.layout = cell::layout(daemon.members.keys(), &daemon.settings.daemon);
+    if daemon.gossip.layout.cells > 1 {
+        return tell_cells(daemon, now, fx);
+    }
+    let to_all =
+        to_all || daemon.members.len() <= FLEET || daemon.gossip.round.is_multiple_of(FAR_ROUNDS);
     let others = daemon.members.iter().filter(|(name, member)| {
         let near = daemon.settings.distance(&member.record.domain) < 2;
         **name != daemon.settings.daemon && (near || to_all)
@@ -306,6 +411,56 @@
     }
 }
 
+/// Tells the own cell, the delegates of others, and those who move a primary and wait for the word
+/// of every daemon.
+fn tell_cells(daemon: &mut Daemon, now: Now, fx: &mut Effects) {
+    let Layout { cell, mates, delegates, .. } = daemon.gossip.layout.clone();
+    let mut digest = digest(daemon, now);
+    let direct = daemon.gossip.cells(now).filter(|cell| cell.direct);
+    let relayed =
+        direct.map(|cell| Summary { age: now.since(cell.summed), ..cell.summary.clone() });
+    digest.summaries = relayed.collect();
+    let open = digest.intentions.iter().filter(|known| !known.done);
+    let movers: IndexSet<_> = open.map(|known| known.intention.by.clone()).collect();
+    for name in mates.iter().chain(movers.difference(&mates)) {
+        tell(daemon, now, fx, name, digest.clone());
+    }
+    digest.summaries = vec![sum_up(daemon, now, cell, &digest)];
+    for name in &delegates {
+        tell(daemon, now, fx, name, digest.clone());
+    }
+}
+
+/// What the own cell believes: the digests of its members that are heard, and this daemon's.
+fn sum_up(daemon: &Daemon, now: Now, cell: cell::Number, own: &Digest) -> Summary {
+    let mut demands: IndexMap<id::Workspace, (f32, f32)> = IndexMap::new();
+    let mut opinions: IndexMap<id::Server, Opinion> = IndexMap::new();
+    let heard = daemon.gossip.heard(now).filter(|(name, _)| daemon.gossip.counts(name));
+    let digests: Vec<_> = heard.map(|(_, digest)| digest).chain([own]).collect();
+    for digest in &digests {
+        for (workspace, asked, pace) in &digest.demands {
+            let sum = demands.entry(workspace.clone()).or_default();
+            *sum = (sum.0 + asked, sum.1 + pace);
+        }
+        for reach in &digest.reaches {
+            let server = reach.server.clone();
+            let none = Opinion { server: server.clone(), answering: 0, silent: 0, mark: None };
+            let opinion = opinions.entry(server).or_insert(none);
+            opinion.answering += u32::from(reach.answers);
+            opinion.silent += u32::from(!reach.answers);
+            opinion.mark = opinion.mark.max(reach.mark);
+        }
+    }
+    let demands = demands.into_iter().map(|(workspace, (asked, pace))| (workspace, asked, pace));
+    Summary {
+        cell,
+        age: Duration::ZERO,
+        heard: u32::try_from(digests.len()).unwrap_or(u32::MAX),
+        demands: demands.collect(),
+        opinions: opinions.into_values().collect(),
+    }
+}
+
 /// Whether this daemon had a lease that it may not be able to renew.
 fn needs_loan(daemon: &Daemon, now: Now) -> bool {
     let left = daemon.lease.until().saturating_sub(now.mono);
@@ -346,6 +501,7 @@
         } else {
             Vec::new()
         },
+        summaries: Vec::new(),
     }
 }
 
@@ -400,13 +556,18 @@
     }
     if reborn {
         peer.lent_until = Duration::ZERO;
-        hurry(daemon, now);
+        if daemon.gossip.counts(&from) {
+            hurry(daemon, now);
+        }
     }
     let peer = daemon.gossip.peers.entry(from.clone()).or_default();
     (peer.heard, peer.digest) = (now.mono, digest.clone());
     if digest.alarm && !digest.reaches.is_empty() {
         on_alarm(daemon, now, digest);
     }
+    for summary in &digest.summaries {
+        on_summary(daemon, now, &from, summary);
+    }
     for known in &digest.intentions {
         failover::on_told(daemon, now, fx, known);
     }
@@ -419,7 +580,30 @@
         let answer = self::digest(daemon, now);
         tell(daemon, now, fx, &from, answer);
     }
-    failover::review_all(daemon, now, fx);
+    // In a large fleet most digests bring nothing that concerns a primary.
+    let concerned = digest.alarm || now.mono < daemon.gossip.alarm_until;
+    if daemon.gossip.layout.cells <= 1 || concerned {
+        failover::review_all(daemon, now, fx);
+    } else {
+        failover::review_moves(daemon, now, fx);
+    }
+}
+
+/// Takes the sum of another cell, from its delegate or passed on by a daemon of the own cell.
+fn on_summary(daemon: &mut Daemon, now: Now, from: &id::Daemon, summary: &Summary) {
+    let summed = now.mono.saturating_sub(summary.age);
+    let known = daemon.gossip.cells.get(&summary.cell);
+    if summary.cell == daemon.gossip.layout.cell
+        || known.is_some_and(|known| known.summed >= summed)
+    {
+        return;
+    }
+    let direct = !daemon.gossip.layout.mates.contains(from);
+    let summary = summary.clone();
+    if summary.opinions.iter().any(|opinion| opinion.silent > 0) {
+        alarm(daemon, now);
+    }
+    daemon.gossip.cells.insert(summary.cell, Cell { summary, summed, direct });
 }
 
 /// Joins in when another daemon does not reach a primary.
--- a/crates/gcl-direct/src/lib.rs
+++ b/crates/gcl-direct/src/lib.rs
@@ -8,6 +8,7 @@
 
 pub mod backend;
 pub mod caller;
+pub mod cell;
 pub mod config;
 pub mod connection;
 pub mod directory;
--- a/crates/gcl-direct/src/pool.rs
+++ b/crates/gcl-direct/src/pool.rs
@@ -136,22 +136,38 @@
     (old * (LATENCY_WEIGHT - 1) + new) / LATENCY_WEIGHT
 }
 
-/// Connections that the daemon of a `rank` among `members` may hold to a server at any time.
+/// Connections to a server that a daemon may hold.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Share {
+    /// Those that it may keep while nobody uses them.
+    pub kept: usize,
+    /// Those that it may have open at any time.
+    pub most: usize,
+}
+
+/// The share of the daemon of a `rank` among `members`.
 ///
-/// What does not divide evenly goes to the first ranks; every daemon may hold one.
+/// What does not divide evenly goes to the first ranks. Every daemon may keep one, unless there are
+/// more daemons than connections: then most of them open one for a statement and close it after
+/// that, since a server that is asked for more than it has resets what others use.
 #[must_use]
-pub fn share(connections: usize, members: usize, rank: usize) -> usize {
+pub fn share(connections: usize, members: usize, rank: usize) -> Share {
     let shared = connections * SHARED_PERCENT / 100;
     let members = members.max(1);
-    (shared / members + usize::from(rank < shared % members)).max(1)
+    let kept = shared / members + usize::from(rank < shared % members);
+    if members > connections {
+        return Share { kept, most: 1 };
+    }
+    let kept = kept.max(1);
+    Share { kept, most: kept * MOST_SHARES }
 }
 
 /// The share of this daemon for a server.
-fn share_of(daemon: &Daemon, server: &str) -> usize {
+fn share_of(daemon: &Daemon, server: &str) -> Share {
     let database = daemon.directory.get(server).map(|entry| &entry.database);
     let config = daemon.config.as_ref();
     let Some(known) = database.and_then(|database| config?.databases.get(database)) else {
-        return 1;
+        return share(1, 1, 0);
     };
     let own = rendezvous::weight(server, &daemon.settings.daemon);
     let before = daemon.members.keys().filter(|name| rendezvous::weight(server, name) > own);
@@ -290,7 +306,7 @@
     }
     let open = pool.connections.len();
     let full = now.mono < pool.full_until;
-    if !full && open < share {
+    if !full && open < share.kept {
         return true;
     }
     let idle = pool
@@ -304,7 +320,7 @@
     if full {
         daemon.timers.arm_by(timer::Key::Surplus(server.clone()), pool.full_until);
     }
-    !full && open < share * MOST_SHARES
+    !full && open < share.most
 }
 
 /// Opens a connection to a server for a workspace.
@@ -420,8 +436,9 @@
     let share = share_of(daemon, server);
     let draining = daemon.directory.get(server).is_none_or(|entry| entry.draining);
     let count = daemon.pools.get(server).map_or(0, |pool| pool.connections.len());
-    if draining || count > share {
-        daemon.timers.arm_by(timer::Key::Surplus(server.clone()), now.mono + SURPLUS_REST);
+    if draining || count > share.kept {
+        let rest = if share.kept == 0 { Duration::ZERO } else { SURPLUS_REST };
+        daemon.timers.arm_by(timer::Key::Surplus(server.clone()), now.mono + rest);
     }
 }
 
@@ -429,18 +446,18 @@
 pub fn on_surplus(daemon: &mut Daemon, now: Now, fx: &mut Effects, server: &id::Server) {
     pump(daemon, now, fx, server);
     let draining = daemon.directory.get(server).is_none_or(|entry| entry.draining);
-    let share = if draining { 0 } else { share_of(daemon, server) };
+    let kept = if draining { 0 } else { share_of(daemon, server).kept };
     let Some(pool) = daemon.pools.get(server) else {
         return;
     };
-    let mut surplus = pool.connections.len().saturating_sub(share);
+    let mut surplus = pool.connections.len().saturating_sub(kept);
     let mut rested = Vec::new();
     for name in &pool.connections {
         let idle = daemon.connections.get(name).filter(|known| known.is_idle());
         let Some(idle) = idle.filter(|_| surplus > 0) else {
             continue;
         };
-        if draining || now.since(idle.used) >= SURPLUS_REST {
+        if kept == 0 || now.since(idle.used) >= SURPLUS_REST {
             rested.push(*name);
             surplus -= 1;
         }
--- /dev/null
+++ b/crates/gcl-direct/tests/direct/cell.rs
@@ -0,0 +1,59 @@
+use gcl_core::id;
+use gcl_direct::cell::{Layout, MESH, layout};
+use indexmap::{IndexMap, IndexSet};
+use test_case::test_case;
+
+fn names(fleet: usize) -> Vec<id::Daemon> {
+    (0..fleet).map(|number| format!("d{number}").into()).collect()
+}
+
+#[test]
+fn a_small_fleet_is_a_mesh() {
+    let names = names(MESH);
+    for name in &names {
+        let layout = layout(names.iter(), name);
+        assert_eq!((layout.cells, layout.mates.len()), (1, MESH - 1), "{name}");
+        assert!(layout.delegates.is_empty() && !layout.mates.contains(name));
+    }
+}
+
+#[test_case(73)]
+#[test_case(100)]
+#[test_case(111)]
+fn each_cell_exchanges_sums_with_each_other_one_once(fleet: usize) {
+    let names = names(fleet);
+    let all: IndexMap<_, _> = names.iter().map(|name| (name, layout(names.iter(), name))).collect();
+    let mut told = IndexSet::new();
+    for (name, layout) in &all {
+        assert!(layout.mates.iter().all(|mate| all[mate].cell == layout.cell), "{name}");
+        for other in &layout.delegates {
+            assert!(all[other].delegates.contains(*name), "{other} tells {name} too");
+            assert!(told.insert((layout.cell, all[other].cell)), "told once");
+        }
+    }
+    let cells = all[0].cells as usize;
+    assert_eq!(told.len(), cells * (cells - 1));
+}
+
+#[test_case(301, 18, 2)]
+#[test_case(3300, 58, 2)]
+fn what_a_daemon_tells_grows_with_the_root_of_the_fleet(
+    fleet: usize,
+    mates: usize,
+    delegates: usize,
+) {
+    let names = names(fleet);
+    for name in names.iter().step_by(fleet / 20) {
+        let Layout { mates: there, delegates: others, .. } = layout(names.iter(), name);
+        // The last cell may be small, and its members delegates to more cells.
+        assert!(there.len() < mates || others.len() <= delegates, "{name}");
+        assert!(there.len() <= mates, "{name}");
+    }
+}
+
+#[test]
+fn a_daemon_that_is_not_listed_has_a_place() {
+    let names = names(100);
+    let layout = layout(names.iter(), &"stranger".into());
+    assert!(!layout.mates.is_empty());
+}
--- a/crates/gcl-direct/tests/direct/gossip.rs
+++ b/crates/gcl-direct/tests/direct/gossip.rs
@@ -1,6 +1,7 @@
 //! Loans of the right to use primaries, and what daemons without the store do.
 
 use super::world::World;
+use gcl_direct::gossip;
 
 #[test]
 fn a_daemon_that_the_store_turns_away_serves_on_a_loan() {
@@ -88,3 +89,34 @@
     world.run(3000);
     assert!(world.nodes[1].state.lease.holds(world.now(1).mono), "the right was gained");
 }
+
+/// Beyond the size of a mesh the daemons hear of each other through cells; none is counted twice.
+#[test]
+fn a_large_fleet_shares_out_a_rate_by_the_sums_of_its_cells() {
+    const FLEET: usize = 80;
+    let mut world = World::new(FLEET);
+    world.run(6_000);
+    for daemon in [0, 1, 40, FLEET - 1] {
+        let spread = gossip::spread(&world.nodes[daemon].state, world.now(daemon), &"altyn".into());
+        assert_eq!((spread.members, spread.heard), (FLEET, FLEET), "daemon {daemon}");
+    }
+    let peers = world.nodes[0].state.gossip.layout().mates.len();
+    assert!(peers < 10, "it tells {peers} daemons, not all");
+    world.kill(7);
+    world.run(9_000);
+    let spread = gossip::spread(&world.nodes[0].state, world.now(0), &"altyn".into());
+    assert_eq!((spread.members, spread.heard), (FLEET - 1, FLEET - 1));
+}
+
+/// What each daemon of a large fleet tells, and the calls it makes, do not grow with the fleet.
+#[test]
+fn a_large_fleet_tells_no_more_for_each_daemon() {
+    const FLEET: usize = 100;
+    let mut world = World::new(FLEET);
+    world.run(3_000);
+    let (told, renewals) = (world.told, world.calls["renew"]);
+    world.run(7_000);
+    let digests = (world.told - told) / FLEET;
+    assert!(digests <= 7 * 20, "{digests} digests in 7 s, where a mesh sends 700 and more");
+    assert!(world.calls["renew"] - renewals <= 7 * FLEET);
+}
--- a/crates/gcl-direct/tests/direct/pool.rs
+++ b/crates/gcl-direct/tests/direct/pool.rs
@@ -5,8 +5,9 @@
 #[test_case(22, 9 => 11; "kazyna")]
 #[test_case(30, 7 => 15; "basu")]
 #[test_case(72, 67 => 67; "one each where there are more daemons than half")]
+#[test_case(72, 105 => 36; "fewer than daemons")]
 fn half_of_a_servers_connections_are_shared_out(connections: usize, members: usize) -> usize {
-    (0..members).map(|rank| share(connections, members, rank)).sum()
+    (0..members).map(|rank| share(connections, members, rank).kept).sum()
 }
 
 #[test]
--- a/crates/gcl-direct/tests/direct/world.rs
+++ b/crates/gcl-direct/tests/direct/world.rs
@@ -97,6 +97,8 @@
     /// Orders to promote: server and fence.
     pub promotions: Vec<(id::Server, u64)>,
     pub calls: IndexMap<&'static str, usize>,
+    /// Digests sent.
+    pub told: usize,
     queue: BTreeMap<(u64, u64), What>,
     order: u64,
     revision: u64,
@@ -363,6 +365,7 @@
                 self.later(WAY_MS, daemon, Event::Promoted { database, result: Ok(()) });
             }
             Effect::Peer { address, digest } => {
+                self.told += 1;
                 let to = self.nodes.iter().position(|it| it.state.settings.peer_address == address);
                 let heard =
                     to.filter(|to| !self.nodes[daemon].no_peers && !self.nodes[*to].no_peers);
