--- a/crates/gcl-audit/src/trail.rs
+++ b/crates/gcl-audit/src/trail.rs
@@ -145,8 +145,9 @@
     for source in sources {
         each(open(source)?, |text| {
             let Some(line) = Line::read(text).filter(|line| scope.holds(line)) else { return };
-            left_out += line.number("count").filter(|_| line.is("lines left out")).unwrap_or(0);
-            if context.len() < MOST_CONTEXT {
+            if line.is("lines left out") {
+                left_out += line.number("count").unwrap_or(0);
+            } else if context.len() < MOST_CONTEXT {
                 context.push(line);
             } else {
                 unshown += 1;
@@ -302,7 +303,8 @@
         );
     }
     let right = context.iter().rfind(|other| {
-        other.daemon == line.daemon && (other.is("right lost") || other.is("lease not renewed"))
+        let lost = other.is("right lost") || other.is("lease not renewed");
+        lost && other.daemon == line.daemon && other.at_ms <= line.at_ms
     });
     match right {
         Some(lost) => format!(
