--- a/crates/gcl-audit/src/trail.rs
+++ b/crates/gcl-audit/src/trail.rs
@@ -241,7 +241,7 @@
     let took = ended.and_then(|line| line.number("took"));
     let again = steps.iter().filter(|line| line.is("tried again")).count();
     let took = took.map_or_else(String::new, |took| format!(" in {took} ms"));
-    format!("It was served{took}, after {} tries.", again + 1)
+    format!("It was served{took}, at try {}.", again + 1)
 }
 
 /// Why a statement was refused, of which nothing had run.
@@ -263,7 +263,9 @@
     let moved = context.iter().filter(moved).count();
     let shares = match moved {
         0 => "no daemon had come or gone, so the workspace was over its rate".to_owned(),
-        _ => format!("{moved} daemons had come or gone just before, so the parts were moving"),
+        _ => format!(
+            "daemons had come or gone just before ({moved} lines), so the parts were moving"
+        ),
     };
     format!(
         "{workspace} had used up this daemon's part of its rate, which {members} daemons share; \
@@ -336,7 +338,7 @@
         "it changed nothing that lasts"
     };
     format!(
-        "It had been sent to {server} when the connection was lost ({reason}); {doubt}. {others} \
-         other statements lost their connection to {server} within a second."
+        "It had been sent to {server} when the connection was lost ({reason}); {doubt}. Other \
+         statements that lost their connection to {server} within a second: {others}."
     )
 }
--- a/crates/gcl-audit/tests/audit/trail.rs
+++ b/crates/gcl-audit/tests/audit/trail.rs
@@ -24,8 +24,8 @@
         ("daemon gone", r#","member":"d2"}"#),
         ("operation refused", r#","request":"r1","members":6,"workspace":"ws","fault":"G120 over"}"#),
     ],
-    "ws had used up this daemon's part of its rate, which 6 daemons share; 1 daemons had come or \
-     gone just before, so the parts were moving.";
+    "ws had used up this daemon's part of its rate, which 6 daemons share; daemons had come or gone \
+     just before (1 lines), so the parts were moving.";
     "over the rate while a daemon goes"
 )]
 #[test_case(
@@ -57,7 +57,7 @@
 )]
 #[test_case(
     &[("placed", r#","request":"r1","server":"s1"}"#), ("ended", r#","request":"r1","outcome":"served","took":9}"#)],
-    "It was served in 9 ms, after 1 tries.";
+    "It was served in 9 ms, at try 1.";
     "served"
 )]
 #[test_case(
@@ -119,7 +119,7 @@
     assert_eq!(
         follow(&[&log]).cause,
         "It had been sent to s1 when the connection was lost (closed); it may have taken effect. \
-         1 other statements lost their connection to s1 within a second."
+         Other statements that lost their connection to s1 within a second: 1."
     );
 }
 
--- a/crates/gcl-soak/src/caller.rs
+++ b/crates/gcl-soak/src/caller.rs
@@ -24,6 +24,9 @@
 const PROMISES: [&str; 9] =
     ["AUTHFAIL", "NODB", "MALFORMED", "NOSTMT", "ABORTED", "BEHIND", "READONLY", "TOOMANY", "BUSY"];
 
+/// The rows of an answer, or the words of the refusal.
+type Result<T> = std::result::Result<T, String>;
+
 /// What a caller was told of one write.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Word {
@@ -112,7 +115,7 @@
         format!("v{}-{}", self.number, self.writes)
     }
 
-    async fn query(&mut self, session: &mut Session, text: &str) -> Result<Vec<String>, String> {
+    async fn query(&mut self, session: &mut Session, text: &str) -> Result<Vec<String>> {
         let began = Instant::now();
         let answer = session.query(text).await.map_err(|error| error.to_string());
         match &answer {
@@ -178,7 +181,7 @@
     }
 }
 
-fn word_of(answer: &Result<Vec<String>, String>) -> Word {
+fn word_of(answer: &Result<Vec<String>>) -> Word {
     match answer {
         Ok(_) => Word::Done(Instant::now()),
         Err(error) if PROMISES.iter().any(|promise| error.starts_with(promise)) => Word::NotRun,
