fix(soak): a read may lack what a takeover rolled back

Reads at the new primary rightly lack them; the soak held them against the read at once, while its final check of the log excused them.

Change: such a read is kept as a suspect, and judged at the end with the commits counted as in doubt that a takeover rolled back. Anything else it lacks still breaks the promise (unit tests for both).

--- a/crates/gcl-soak/src/caller.rs
+++ b/crates/gcl-soak/src/caller.rs
@@ -47,8 +47,42 @@
     pub served: Vec<Duration>,
     /// Statements that were refused, by the word of the refusal.
     pub refused: IndexMap<String, u64>,
-    /// What broke a promise.
-    pub broken: Vec<String>,
+    /// Reads that showed less than was acknowledged by then.
+    pub suspects: Vec<Suspect>,
+}
+
+/// A read that breaks a promise, unless what it lacks was rolled back by a takeover.
+#[derive(Clone, Debug)]
+pub struct Suspect {
+    /// The statement and where it ran.
+    pub statement: String,
+    /// The item.
+    pub item: String,
+    /// What it showed.
+    pub seen: Option<String>,
+    /// When it began.
+    pub began: Instant,
+    /// How old its answer might be.
+    pub age: Duration,
+}
+
+impl Suspect {
+    /// Why the read is wrong, when some commits are known to have been rolled back. Such a commit
+    /// shows or not, like one in doubt.
+    #[must_use]
+    pub fn fault(
+        &self,
+        writes: &IndexMap<String, Word>,
+        rolled_back: &IndexSet<String>,
+    ) -> Option<String> {
+        let word = |value: &String, word: &Word| match word {
+            Word::Done(_) if rolled_back.contains(value) => Word::Doubt,
+            word => *word,
+        };
+        let writes = writes.iter().map(|(value, told)| (value.clone(), word(value, told)));
+        let what = stale(&writes.collect(), self.seen.as_deref(), self.began, self.age)?;
+        Some(format!("{}, a read of {}, {what}", self.statement, self.item))
+    }
 }
 
 /// A caller that goes on until it is told to stop.
@@ -167,15 +201,14 @@
         let Ok(rows) = self.query(session, &format!("READ {item}")).await else { return false };
         let none = IndexMap::new();
         let writes = self.account.items.get(item).unwrap_or(&none);
-        if let Some(what) = stale(writes, rows.first().map(String::as_str), began, age) {
+        let seen = rows.into_iter().next();
+        if stale(writes, seen.as_deref(), began, age).is_some() {
             let at = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
-            let id = session.last_id();
             let service = if age.is_zero() { SERVICE } else { LOOKUP };
-            let receipt = session.receipt();
-            let broken = format!(
-                "statement {id} of {service} at {at}, a read of {item} with {receipt}, {what}"
-            );
-            self.account.broken.push(broken);
+            let (id, receipt) = (session.last_id(), session.receipt());
+            let statement = format!("statement {id} of {service} at {at} with {receipt}");
+            let item = item.to_owned();
+            self.account.suspects.push(Suspect { statement, item, seen, began, age });
         }
         true
     }
--- a/crates/gcl-soak/src/run.rs
+++ b/crates/gcl-soak/src/run.rs
@@ -254,7 +254,11 @@
         let mut times = Histogram::new(3).wrap_err("a histogram")?;
         let mut kept = 0;
         for account in accounts {
-            broken.extend(account.broken.iter().cloned());
+            let none = IndexMap::new();
+            broken.extend(account.suspects.iter().filter_map(|suspect| {
+                let writes = account.items.get(&suspect.item).unwrap_or(&none);
+                suspect.fault(writes, &rolled_back)
+            }));
             for (item, writes) in &account.items {
                 let committed = group.committed(item);
                 broken.extend(caller::audit(item, writes, &committed, &rolled_back));
--- a/crates/gcl-soak/tests/soak/caller.rs
+++ b/crates/gcl-soak/tests/soak/caller.rs
@@ -1,4 +1,4 @@
-use gcl_soak::caller::{Word, audit, stale};
+use gcl_soak::caller::{Suspect, Word, audit, stale};
 use indexmap::{IndexMap, IndexSet};
 use std::time::{Duration, Instant};
 use test_case::test_case;
@@ -52,3 +52,21 @@
     let broken = audit("item", &writes(words, Instant::now()), &committed, &rolled_back);
     assert_eq!(broken.is_empty(), fine, "{broken:?}");
 }
+
+#[test_case(&["b"], true; "what it lacks was rolled back")]
+#[test_case(&["a"], false; "something else was")]
+#[test_case(&["b", "c"], true; "all of it was")]
+#[test_case(&["c"], false; "the last only")]
+fn a_read_may_lack_what_a_takeover_rolled_back(rolled_back: &[&str], fine: bool) {
+    let first = Instant::now();
+    let suspect = Suspect {
+        statement: "statement 1".into(),
+        item: "item".into(),
+        seen: Some("a".into()),
+        began: first + Duration::from_millis(1_500),
+        age: Duration::ZERO,
+    };
+    let rolled_back = rolled_back.iter().map(ToString::to_string).collect();
+    let fault = suspect.fault(&writes("ddd", first), &rolled_back);
+    assert_eq!(fault.is_none(), fine, "{fault:?}");
+}
