--- a/crates/gcl-daemon/tests/soak/main.rs
+++ b/crates/gcl-daemon/tests/soak/main.rs
@@ -7,11 +7,13 @@
 /// Seeds 11 and 30 once failed: the stand-in gave the primary a lagging replica's log, and let a
 /// replica that lagged claim the new term. Seed 106 found a daemon that never gained its right: the
 /// store went away between the grant of its lease and the write of its key. In seed 610 reads after
-/// a takeover lacked commits that it had rolled back, which the soak took for stale.
+/// a takeover lacked commits that it had rolled back, which the soak took for stale, and
+/// probably in 618.
 #[test_case(11)]
 #[test_case(30)]
 #[test_case(106)]
 #[test_case(610)]
+#[test_case(618)]
 #[tokio::test(flavor = "multi_thread")]
 async fn no_promise_is_broken(seed: u64) {
     let directory = env::temp_dir().join(format!("goldcrest-soak-{}-{seed}", process::id()));
