fix(soak): resets ordered during a connect count; a commit that was rolled back excuses itself only

The proxy read the count of resets after it had reached the target, so that a reset ordered before that was missed and the test waited for ever.

--- a/crates/gcl-soak/src/caller.rs
+++ b/crates/gcl-soak/src/caller.rs
@@ -67,20 +67,15 @@
 }
 
 impl Suspect {
-    /// Why the read is wrong, when some commits are known to have been rolled back. Such a commit
-    /// shows or not, like one in doubt.
+    /// Why the read is wrong, when some commits are known to have been rolled back: it need not show
+    /// those.
     #[must_use]
     pub fn fault(
         &self,
         writes: &IndexMap<String, Word>,
         rolled_back: &IndexSet<String>,
     ) -> Option<String> {
-        let word = |value: &String, word: &Word| match word {
-            Word::Done(_) if rolled_back.contains(value) => Word::Doubt,
-            word => *word,
-        };
-        let writes = writes.iter().map(|(value, told)| (value.clone(), word(value, told)));
-        let what = stale(&writes.collect(), self.seen.as_deref(), self.began, self.age)?;
+        let what = stale(writes, self.seen.as_deref(), self.began, self.age, rolled_back)?;
         Some(format!("{}, a read of {}, {what}", self.statement, self.item))
     }
 }
@@ -202,7 +197,7 @@
         let none = IndexMap::new();
         let writes = self.account.items.get(item).unwrap_or(&none);
         let seen = rows.into_iter().next();
-        if stale(writes, seen.as_deref(), began, age).is_some() {
+        if stale(writes, seen.as_deref(), began, age, &IndexSet::new()).is_some() {
             let at = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
             let service = if age.is_zero() { SERVICE } else { LOOKUP };
             let (id, receipt) = (session.last_id(), session.receipt());
@@ -224,16 +219,21 @@
 
 /// Why a read that began at `began` may not show `seen`, if so.
 ///
-/// A write in doubt may take effect late, so it may show at any time.
+/// A write in doubt may take effect late, so it may show at any time. What was rolled back need not
+/// show.
 #[must_use]
 pub fn stale(
     writes: &IndexMap<String, Word>,
     seen: Option<&str>,
     began: Instant,
     age: Duration,
+    rolled_back: &IndexSet<String>,
 ) -> Option<String> {
     let bound = began.checked_sub(age)?;
-    let required = writes.values().rposition(|word| matches!(word, Word::Done(at) if *at <= bound));
+    let kept = |value: &String, word: &Word| {
+        matches!(word, Word::Done(at) if *at <= bound) && !rolled_back.contains(value)
+    };
+    let required = writes.iter().rposition(|(value, word)| kept(value, word));
     match seen {
         None => {
             required.map(|at| format!("shows nothing, though {:?} was kept", writes.get_index(at)))
--- a/crates/gcl-soak/src/proxy.rs
+++ b/crates/gcl-soak/src/proxy.rs
@@ -74,14 +74,20 @@
     // The listener fails only with the runtime.
     while let Ok((near, _)) = listener.accept().await {
         let target = *target.lock().unwrap_or_else(PoisonError::into_inner);
-        tokio::spawn(carry(near, target, disturbance.clone()));
+        // Read here, so that a reset counts that is ordered while the target is being reached.
+        let resets = disturbance.borrow().resets;
+        tokio::spawn(carry(near, target, disturbance.clone(), resets));
     }
 }
 
-async fn carry(near: TcpStream, target: SocketAddr, disturbance: watch::Receiver<Disturbance>) {
+async fn carry(
+    near: TcpStream,
+    target: SocketAddr,
+    disturbance: watch::Receiver<Disturbance>,
+    resets: u64,
+) {
     // A target that is not there ends the connection, as its host would.
     let Ok(far) = TcpStream::connect(target).await else { return };
-    let resets = disturbance.borrow().resets;
     let ((near_read, near_write), (far_read, far_write)) = (near.into_split(), far.into_split());
     let forward = pass(near_read, far_write, disturbance.clone(), |now| now.forward_cut);
     let backward = pass(far_read, near_write, disturbance.clone(), |now| now.backward_cut);
--- a/crates/gcl-soak/tests/soak/caller.rs
+++ b/crates/gcl-soak/tests/soak/caller.rs
@@ -29,7 +29,8 @@
 fn a_read_shows_what_it_may(words: &str, seen: Option<&str>, age_ms: u64, allowed: bool) {
     let first = Instant::now();
     let began = first + Duration::from_secs(2);
-    let found = stale(&writes(words, first), seen, began, Duration::from_millis(age_ms));
+    let age = Duration::from_millis(age_ms);
+    let found = stale(&writes(words, first), seen, began, age, &IndexSet::new());
     assert_eq!(found.is_none(), allowed, "{found:?}");
 }
 
