refactor(audit): one reader of logs and one way to open them

explain read logs by a loop of its own, without the bound on a line that read::read has, and opened files a third time beside audit and replay. read::lines now serves both readers, and gcl-cli opens files in one place.

--- a/crates/gcl-audit/src/read.rs
+++ b/crates/gcl-audit/src/read.rs
@@ -66,7 +66,23 @@
 ///
 /// # Errors
 /// The file cannot be read on.
-pub fn read(file: &str, mut log: impl BufRead, mut each: impl FnMut(&Place, Entry)) -> Result<u64> {
+pub fn read(file: &str, log: impl BufRead, mut each: impl FnMut(&Place, Entry)) -> Result<u64> {
+    lines(file, log, |place, line| {
+        if let Some(entry) = entry(line) {
+            each(place, entry);
+        }
+    })
+}
+
+/// Reads a log line by line, in memory of a bounded size; gives the bytes read.
+///
+/// # Errors
+/// The file cannot be read on.
+pub fn lines(
+    file: &str,
+    mut log: impl BufRead,
+    mut each: impl FnMut(&Place, &[u8]),
+) -> Result<u64> {
     let mut place = Place { file: file.to_owned(), number: 0 };
     let (mut line, mut bytes) = (Vec::new(), 0);
     loop {
@@ -78,9 +94,7 @@
             Ok(count) => bytes += count as u64,
             Err(source) => return Err(Error { place, source }),
         }
-        if let Some(entry) = entry(&line) {
-            each(&place, entry);
-        }
+        each(&place, &line);
     }
 }
 
--- a/crates/gcl-audit/src/trail.rs
+++ b/crates/gcl-audit/src/trail.rs
@@ -8,7 +8,7 @@
 use indexmap::IndexSet;
 use serde::Deserialize;
 use serde_json::{Map, Value};
-use std::{fmt, io, io::BufRead, time::Duration};
+use std::{fmt, time::Duration};
 
 /// How long before a request beliefs may explain it: the longest patience with a silent primary.
 const BEFORE: Duration = Duration::from_secs(10);
@@ -37,9 +37,6 @@
     "lines left out",
 ];
 
-/// The answer, or why a log cannot be read.
-pub type Result<T> = io::Result<T>;
-
 /// One line of a daemon's log.
 #[derive(Clone, Debug, Deserialize, PartialEq)]
 pub struct Line {
@@ -75,6 +72,11 @@
         self.fields.get(name)?.as_u64()
     }
 
+    /// Whether it names a request.
+    fn is_about(&self, request: &str) -> bool {
+        self.text("request") == Some(request)
+    }
+
     fn is(&self, event: &str) -> bool {
         self.event == event
     }
@@ -113,22 +115,19 @@
     pub cause: String,
 }
 
-/// Follows a request through logs, each of which `open` opens twice.
+/// Follows a request through logs; `scan` hands on all their lines, and is called twice.
 ///
 /// # Errors
-/// A log cannot be read.
-pub fn explain<S, R: BufRead>(
+/// That of `scan`.
+pub fn explain<E>(
     request: &str,
-    sources: &[S],
-    open: impl Fn(&S) -> Result<R>,
-) -> Result<Outcome> {
+    scan: impl Fn(&mut dyn FnMut(&str)) -> Result<(), E>,
+) -> Result<Outcome, E> {
     let mut steps = Vec::new();
-    for source in sources {
-        each(open(source)?, |text| {
-            let named = text.contains(request).then(|| Line::read(text)).flatten();
-            steps.extend(named.filter(|line| line.text("request") == Some(request)));
-        })?;
-    }
+    scan(&mut |text| {
+        let named = text.contains(request).then(|| Line::read(text)).flatten();
+        steps.extend(named.filter(|line| line.is_about(request)));
+    })?;
     steps.sort_by_key(|line: &Line| line.at_ms);
     let Some(scope) = Scope::around(&steps) else {
         return Ok(Outcome {
@@ -142,32 +141,21 @@
         });
     };
     let (mut context, mut unshown, mut left_out) = (Vec::new(), 0, 0);
-    for source in sources {
-        each(open(source)?, |text| {
-            let Some(line) = Line::read(text).filter(|line| scope.holds(line)) else { return };
-            if line.is("lines left out") {
-                left_out += line.number("count").unwrap_or(0);
-            } else if context.len() < MOST_CONTEXT {
-                context.push(line);
-            } else {
-                unshown += 1;
-            }
-        })?;
-    }
+    scan(&mut |text| {
+        let Some(line) = Line::read(text).filter(|line| scope.holds(line)) else { return };
+        if line.is("lines left out") {
+            left_out += line.number("count").unwrap_or(0);
+        } else if context.len() < MOST_CONTEXT {
+            context.push(line);
+        } else {
+            unshown += 1;
+        }
+    })?;
     context.sort_by_key(|line: &Line| line.at_ms);
     let cause = cause(&steps, &context, left_out);
     Ok(Outcome { steps, context, unshown, left_out, cause })
 }
 
-fn each(mut source: impl BufRead, mut take: impl FnMut(&str)) -> Result<()> {
-    let mut bytes = Vec::new();
-    while source.read_until(b'\n', &mut bytes)? > 0 {
-        take(&String::from_utf8_lossy(&bytes));
-        bytes.clear();
-    }
-    Ok(())
-}
-
 /// Which lines may explain a request.
 struct Scope {
     from_ms: u64,
--- a/crates/gcl-audit/tests/audit/trail.rs
+++ b/crates/gcl-audit/tests/audit/trail.rs
@@ -1,11 +1,19 @@
 //! The trail of a request through daemons' logs.
 
 use gcl_audit::trail::{self, Line, Outcome};
-use std::io::Cursor;
+use std::convert::Infallible;
 use test_case::test_case;
 
+fn follow_one(request: &str, logs: &[&str]) -> Outcome {
+    let outcome = trail::explain(request, |take| -> Result<(), Infallible> {
+        logs.iter().flat_map(|log| log.lines()).for_each(take);
+        Ok(())
+    });
+    outcome.expect("the logs are in memory")
+}
+
 fn follow(logs: &[&str]) -> Outcome {
-    trail::explain("r1", logs, |log| Ok(Cursor::new(*log))).expect("the logs are in memory")
+    follow_one("r1", logs)
 }
 
 fn line(at: u64, daemon: &str, event: &str, rest: &str) -> String {
--- a/crates/gcl-cli/src/audit.rs
+++ b/crates/gcl-cli/src/audit.rs
@@ -1,6 +1,9 @@
 //! `goldcrest audit`: an auditor's questions to collected records.
 
-use crate::exit::{Failure, Result};
+use crate::{
+    exit::{Failure, Result},
+    log,
+};
 use gcl_audit::{
     explain::Search,
     read::{self, Entry, Place},
@@ -11,8 +14,8 @@
 use getopts::{Matches, Options};
 use indexmap::IndexMap;
 use std::{
-    fs::{self, File},
-    io::{self, BufRead, BufReader, IsTerminal},
+    fs,
+    io::{self, IsTerminal},
 };
 
 /// Usage of the command.
@@ -160,15 +163,7 @@
     let progress = io::stderr().is_terminal();
     let mut lines = 0;
     for file in files {
-        let log: Box<dyn BufRead> = match file.as_str() {
-            "-" => Box::new(io::stdin().lock()),
-            path => {
-                let opened = File::open(path);
-                let opened = opened.map_err(|error| Failure::Usage(format!("{path}: {error}")))?;
-                Box::new(BufReader::new(opened))
-            }
-        };
-        let read = read::read(file, log, |place, entry| {
+        let read = read::read(file, log::open(file)?, |place, entry| {
             lines += 1;
             if progress && lines % PROGRESS_LINES == 0 {
                 eprintln!("{lines} lines of the record read, now at {place}");
--- a/crates/gcl-cli/src/explain.rs
+++ b/crates/gcl-cli/src/explain.rs
@@ -1,10 +1,12 @@
 //! `goldcrest explain`: why a request ended as it did, from the logs of the daemons it passed.
 
-use crate::exit::{Failure, Result};
-use gcl_audit::trail::{self, Line, Outcome};
-use std::{
-    fs::File,
-    io::{self, BufReader},
+use crate::{
+    exit::{Failure, Result},
+    log,
+};
+use gcl_audit::{
+    read,
+    trail::{self, Line, Outcome},
 };
 
 /// Usage of the command.
@@ -28,12 +30,15 @@
     if files.is_empty() {
         return Err(Failure::Usage(USAGE.to_owned()));
     }
-    let outcome = trail::explain(request, files, |path| {
-        let file = File::open(path);
-        let file = file.map_err(|error| io::Error::new(error.kind(), format!("{path}: {error}")));
-        file.map(BufReader::new)
-    });
-    let outcome = outcome.map_err(|error| Failure::Usage(error.to_string()))?;
+    let outcome = trail::explain(request, |take| {
+        for path in files {
+            let read = read::lines(path, log::file(path)?, |_place, line| {
+                take(&String::from_utf8_lossy(line));
+            });
+            read.map_err(|error| Failure::Usage(error.to_string()))?;
+        }
+        Ok(())
+    })?;
     if outcome.steps.is_empty() {
         return Err(Failure::Refused(outcome.cause));
     }
--- a/crates/gcl-cli/src/main.rs
+++ b/crates/gcl-cli/src/main.rs
@@ -9,6 +9,7 @@
 mod command;
 mod exit;
 mod explain;
+mod log;
 mod replay;
 mod secret;
 mod table;
--- a/crates/gcl-cli/src/replay.rs
+++ b/crates/gcl-cli/src/replay.rs
@@ -1,11 +1,10 @@
 //! `goldcrest replay`: runs a recorded trace through the reducer again.
 
-use crate::exit::{Failure, Result};
-use gcl_audit::replay::{Outcome, replay};
-use std::{
-    fs::File,
-    io::{self, BufRead, BufReader},
+use crate::{
+    exit::{Failure, Result},
+    log,
 };
+use gcl_audit::replay::{Outcome, replay};
 
 /// Usage of the command.
 const USAGE: &str = "Usage: goldcrest replay FILE
@@ -23,14 +22,7 @@
         println!("{USAGE}");
         return Ok(());
     }
-    let trace: Box<dyn BufRead> = if path == "-" {
-        Box::new(io::stdin().lock())
-    } else {
-        let file = File::open(path);
-        let file = file.map_err(|error| Failure::Usage(format!("{path}: {error}")))?;
-        Box::new(BufReader::new(file))
-    };
-    match replay(trace) {
+    match replay(log::open(path)?) {
         Ok(Outcome { steps, difference: None }) => {
             println!("{steps} events led to the same decisions");
             Ok(())
