fix(audit): explain finds a request whose id has digits only

Cause: the daemons' log writes a field that reads as a number as one, so the lines of such an id were passed over.

Change: an id is compared with a number as well.

--- a/crates/gcl-audit/src/trail.rs
+++ b/crates/gcl-audit/src/trail.rs
@@ -72,9 +72,13 @@
         self.fields.get(name)?.as_u64()
     }
 
-    /// Whether it names a request.
+    /// Whether it names a request; the log writes an id of digits alone as a number.
     fn is_about(&self, request: &str) -> bool {
-        self.text("request") == Some(request)
+        match self.fields.get("request") {
+            Some(Value::String(text)) => text == request,
+            Some(Value::Number(number)) => number.to_string() == request,
+            _ => false,
+        }
     }
 
     fn is(&self, event: &str) -> bool {
--- a/crates/gcl-audit/tests/audit/trail.rs
+++ b/crates/gcl-audit/tests/audit/trail.rs
@@ -141,3 +141,10 @@
     assert_eq!(outcome.steps.len(), 1, "a collector's prefix is left aside: {outcome:?}");
     assert_eq!(Line::read("no object"), None);
 }
+
+#[test]
+fn an_id_of_digits_alone_is_found() {
+    let log = line(5_000, "d1", "placed", r#","request":4096,"server":"s1""#);
+    assert_eq!(follow_one("4096", &[&log]).steps.len(), 1);
+    assert_eq!(follow_one("409", &[&log]).steps.len(), 0);
+}
