fix(drain): a caller who comes as the process ends is refused

Cause: when the last session of a stopping daemon has left, the process lives on for 200 ms for its last call to the store. A caller who came in the second half of the grace could be cut in the same way by the end of the grace.

Ruled out: the close of sessions at rest (it waits for the peer's end and answers what was read), the revocation of the lease (it does not wait for sessions).

Change: no login is admitted once half of the grace is over or the daemon has ended; the caller is told that nothing ran and when to come back.

--- a/crates/gcl-direct/src/drain.rs
+++ b/crates/gcl-direct/src/drain.rs
@@ -53,6 +53,19 @@
     matches!(daemon.drain, State::Draining(since) if now.since(since) >= NOTICE)
 }
 
+/// Whether callers may still log in. What begins in the second half of the grace might be cut by its
+/// end, and once the daemon has ended the process lives on only for its last call to the store.
+#[must_use]
+pub fn admits(daemon: &Daemon, now: Now) -> bool {
+    match daemon.drain {
+        State::Serving => true,
+        State::Draining(since) => {
+            now.since(since) < daemon.settings.bounds.grace / TRANSACTION_PART
+        }
+        State::Ended => false,
+    }
+}
+
 /// Closes a session that comes to rest while the daemon drains.
 pub fn on_answered(daemon: &mut Daemon, now: Now, fx: &mut Effects, session: id::Session) {
     if closing(daemon, now) {
--- a/crates/gcl-direct/src/session.rs
+++ b/crates/gcl-direct/src/session.rs
@@ -34,6 +34,8 @@
 const MOST_AHEAD: usize = 64;
 /// When to come back while the configuration is not known.
 const NO_CONFIG_RETRY: Duration = Duration::from_millis(500);
+/// When to come back to a daemon that stops; the balancer takes the caller to another one.
+const DRAINING_RETRY: Duration = Duration::from_millis(100);
 
 /// An open transaction.
 #[derive(Clone, Debug)]
@@ -148,6 +150,10 @@
         let fault = Fault::new(Code::Protocol, "a session logs in once");
         return refuse_and_close(daemon, now, fx, session, fault);
     }
+    if !drain::admits(daemon, now) {
+        let fault = Fault::new(Code::Draining, "the daemon stops").retry_after(DRAINING_RETRY);
+        return refuse_and_close(daemon, now, fx, session, fault);
+    }
     match admit_key(daemon.config.as_deref(), &service, &key) {
         Ok(workspace) => {
             let entry = Session { service, key, workspace, ..Session::default() };
--- a/crates/gcl-direct/tests/direct/drain.rs
+++ b/crates/gcl-direct/tests/direct/drain.rs
@@ -1,5 +1,6 @@
 use super::world::World;
 use gcl_core::code::Code;
+use gcl_direct::caller::Reply;
 
 #[test]
 fn a_planned_stop_cuts_nothing() {
@@ -50,3 +51,43 @@
     world.query(reader, "READ 1").expect("it is served");
     assert_eq!(world.ran("a", "READ 1"), 1);
 }
+
+/// The process lives on for a moment after its last session has left, for its last call to the store.
+#[test]
+fn a_caller_who_comes_as_the_process_ends_is_refused_and_runs_nothing() {
+    let mut world = World::new(2);
+    let last = world.login(0, "latest", "key");
+    world.stop(0);
+    world.run(2250);
+    assert!(world.is_closed(last) && world.nodes[0].exited);
+    let late = world.login(0, "bounded", "key");
+    world.send(late, "READ 1");
+    world.run(100);
+    assert_eq!(["a", "b", "c"].map(|server| world.ran(server, "READ 1")), [0, 0, 0]);
+    assert!(world.is_closed(late));
+    let refused = world.take(late).into_iter().any(|reply| {
+        matches!(reply, Reply::Error(fault) if fault.code == Code::Draining && fault.code.not_run())
+    });
+    assert!(refused, "the caller is told that nothing has run");
+}
+
+/// What begins in the second half of the grace might be cut by its end.
+#[test]
+fn a_caller_who_comes_in_the_second_half_of_the_grace_is_refused() {
+    let mut world = World::new(2);
+    let busy = world.login(0, "latest", "key");
+    world.query(busy, "BEGIN").expect("it begins");
+    world.query(busy, "WRITE 1 x").expect("it is written");
+    world.stop(0);
+    world.run(2500);
+    let early = world.login(0, "bounded", "key");
+    world.query(early, "READ 1").expect("there is time for it");
+    world.run(450);
+    assert!(!world.nodes[0].exited, "a transaction is open");
+    world.run(100);
+    let late = world.login(0, "bounded", "key");
+    world.send(late, "READ 2");
+    world.run(50);
+    assert!(world.is_closed(late));
+    assert_eq!(["a", "b", "c"].map(|server| world.ran(server, "READ 2")), [0, 0, 0]);
+}
