--- a/crates/gcl-daemon/src/direct/backend.rs
+++ b/crates/gcl-daemon/src/direct/backend.rs
@@ -129,7 +129,8 @@
     }
 }
 
-fn configure(stream: &TcpStream) -> std::io::Result<()> {
+/// Has a stream carry small messages at once, and end when the other side is silent.
+pub fn configure(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     socket.set_tcp_user_timeout(Some(USER_TIMEOUT))?;
--- /dev/null
+++ b/crates/gcl-daemon/src/direct/link.rs
@@ -0,0 +1,194 @@
+//! Streams between daemons: frames of [`VERSION`] and a message, each behind its length.
+//!
+//! A frame that cannot be read is counted, logged and left aside; the stream goes on.
+
+use super::{
+    backend::configure,
+    shell::{Shell, Streamed, Unread},
+};
+use actix::Addr;
+use bytes::{BufMut, Bytes, BytesMut};
+use compact_str::{CompactString, format_compact};
+use futures::{SinkExt, StreamExt};
+use gcl_core::id;
+use gcl_direct::link::{Ask, Event, Id, Tell};
+use serde::{Serialize, de::DeserializeOwned};
+use std::{io, net::SocketAddr, time::Duration};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::mpsc::{UnboundedReceiver, UnboundedSender, unbounded_channel},
+    time::{sleep, timeout},
+};
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+
+/// The version of the messages. A frame of another version is left aside.
+const VERSION: u8 = 1;
+/// Largest frame in bytes: the largest answer that a host passes on, and its surroundings.
+const MOST_BYTES: usize = 10 << 20;
+/// First size of a stream's buffers in bytes.
+const BUFFER_BYTES: usize = 1024;
+/// Longest time until a stream is open.
+const OPEN_TIMEOUT: Duration = Duration::from_millis(600);
+/// Longest wait for the other side to take a frame.
+const WRITE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Pause after the operating system refused a stream.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+type Stream = Framed<TcpStream, LengthDelimitedCodec>;
+
+/// Tells one stream to a host from its successor.
+pub type Serial = u64;
+
+/// Why a frame cannot be read.
+type Result<T> = std::result::Result<T, CompactString>;
+
+fn encode(message: &impl Serialize) -> Result<Bytes> {
+    let mut frame = BytesMut::with_capacity(BUFFER_BYTES);
+    frame.put_u8(VERSION);
+    let body = postcard::to_allocvec(message).map_err(|error| format_compact!("{error}"))?;
+    frame.put_slice(&body);
+    if frame.len() > MOST_BYTES {
+        return Err(format_compact!("a message of {} bytes is too large", frame.len()));
+    }
+    Ok(frame.freeze())
+}
+
+fn decode<T: DeserializeOwned>(frame: &[u8]) -> Result<T> {
+    match frame.split_first() {
+        Some((&VERSION, body)) => {
+            postcard::from_bytes(body).map_err(|error| format_compact!("{error}"))
+        }
+        Some((version, _)) => Err(format_compact!("version {version} is not known")),
+        None => Err("an empty frame".into()),
+    }
+}
+
+fn framed(stream: TcpStream) -> io::Result<Stream> {
+    configure(&stream)?;
+    let codec = LengthDelimitedCodec::builder().max_frame_length(MOST_BYTES).new_codec();
+    let mut stream = Framed::new(stream, codec);
+    stream.read_buffer_mut().reserve(BUFFER_BYTES);
+    Ok(stream)
+}
+
+/// Opens a stream to a host and carries questions and answers until either side ends it.
+pub async fn dial(
+    host: id::Daemon,
+    serial: Serial,
+    address: CompactString,
+    mut asks: UnboundedReceiver<Ask>,
+    shell: Addr<Shell>,
+) {
+    let opened = match open(&address).await {
+        Ok(stream) => {
+            let told = |frame: &[u8]| match decode::<Tell>(frame) {
+                Ok(tell) => shell.do_send(Streamed {
+                    serial: Some(serial),
+                    event: Event::Told(host.clone(), tell),
+                }),
+                Err(detail) => shell.do_send(Unread(detail)),
+            };
+            carry(stream, &mut asks, told, &shell).await;
+            true
+        }
+        Err(_not_reached) => false,
+    };
+    let event = Event::Down { host, opened };
+    shell.do_send(Streamed { serial: Some(serial), event });
+}
+
+async fn open(address: &str) -> io::Result<Stream> {
+    let address: SocketAddr = address.parse().map_err(io::Error::other)?;
+    framed(timeout(OPEN_TIMEOUT, TcpStream::connect(address)).await??)
+}
+
+/// Accepts streams of other daemons until the process ends.
+pub fn listen(listener: TcpListener, shell: Addr<Shell>) {
+    actix_rt::spawn(async move {
+        let mut link: Id = 0;
+        loop {
+            match listener.accept().await {
+                Ok((stream, _)) => {
+                    link += 1;
+                    let (tells, orders) = unbounded_channel();
+                    shell.do_send(Joined { link, tells });
+                    actix_rt::spawn(serve(link, stream, orders, shell.clone()));
+                }
+                Err(error) => {
+                    shell.do_send(Unread(format_compact!("stream not accepted: {error}")));
+                    sleep(ACCEPT_PAUSE).await;
+                }
+            }
+        }
+    });
+}
+
+/// Another daemon opened a stream.
+#[derive(Debug, actix::Message)]
+#[rtype(result = "()")]
+pub struct Joined {
+    /// The stream.
+    pub link: Id,
+    /// Where answers go.
+    pub tells: UnboundedSender<Tell>,
+}
+
+async fn serve(
+    link: Id,
+    stream: TcpStream,
+    mut tells: UnboundedReceiver<Tell>,
+    shell: Addr<Shell>,
+) {
+    if let Ok(stream) = framed(stream) {
+        let asked = |frame: &[u8]| match decode::<Ask>(frame) {
+            Ok(ask) => shell.do_send(Streamed { serial: None, event: Event::Asked(link, ask) }),
+            Err(detail) => shell.do_send(Unread(detail)),
+        };
+        carry(stream, &mut tells, asked, &shell).await;
+    }
+    shell.do_send(Streamed { serial: None, event: Event::Left(link) });
+}
+
+/// Carries frames until either side ends the stream.
+async fn carry<T: Serialize>(
+    mut stream: Stream,
+    orders: &mut UnboundedReceiver<T>,
+    heard: impl Fn(&[u8]),
+    shell: &Addr<Shell>,
+) {
+    loop {
+        tokio::select! {
+            frame = stream.next() => match frame {
+                Some(Ok(frame)) => heard(&frame),
+                Some(Err(_)) | None => return,
+            },
+            order = orders.recv() => {
+                let Some(order) = order else {
+                    return;
+                };
+                let sent = timeout(WRITE_TIMEOUT, send(&mut stream, order, orders, shell)).await;
+                if !matches!(sent, Ok(Ok(()))) {
+                    return;
+                }
+            },
+        }
+    }
+}
+
+/// Writes a message, and those that wait behind it, at once.
+async fn send<T: Serialize>(
+    stream: &mut Stream,
+    first: T,
+    orders: &mut UnboundedReceiver<T>,
+    shell: &Addr<Shell>,
+) -> io::Result<()> {
+    let mut next = Some(first);
+    while let Some(order) = next {
+        match encode(&order) {
+            Ok(frame) => stream.feed(frame).await?,
+            Err(detail) => shell.do_send(Unread(detail)),
+        }
+        next = orders.try_recv().ok();
+    }
+    SinkExt::<Bytes>::flush(stream).await
+}
--- a/crates/gcl-daemon/src/direct/mod.rs
+++ b/crates/gcl-daemon/src/direct/mod.rs
@@ -7,6 +7,7 @@
 mod caller;
 mod clock;
 mod journal;
+mod link;
 mod peer;
 mod reload;
 mod shell;
@@ -59,6 +60,8 @@
     let listener = TcpListener::bind(process.callers).await;
     let listener = listener.wrap_err_with(|| format!("cannot listen on {}", process.callers))?;
     let (socket, heard) = peer::Socket::open(process.peers).await?;
+    let streams = TcpListener::bind(process.peers).await;
+    let streams = streams.wrap_err_with(|| format!("cannot listen on {}", process.peers))?;
     let (exit, exited) = oneshot::channel();
     let shell = Shell {
         state: State::new(process.settings.clone(), seed),
@@ -74,6 +77,7 @@
     let shell = shell.start();
     caller::listen(listener, shell.clone());
     peer::listen(heard, shell.clone());
+    link::listen(streams, shell.clone());
     stop_on_signals(&shell)?;
     exited.await.wrap_err("the daemon stopped by itself")
 }
--- a/crates/gcl-daemon/src/direct/shell.rs
+++ b/crates/gcl-daemon/src/direct/shell.rs
@@ -4,14 +4,22 @@
     backend,
     clock::Clock,
     journal::{self, Journal},
-    peer,
+    link, peer,
     reload::{self, Reload},
 };
 use crate::metric;
 use actix::{Actor, AsyncContext, Context, Handler, Message, SpawnHandle};
+use compact_str::CompactString;
 use gcl_core::{id, time::Now};
 use gcl_direct::{
-    backend::Call, caller, effect::Effect, event::Event, line::Line, reduce::reduce, state::State,
+    backend::Call,
+    caller,
+    effect::Effect,
+    event::Event,
+    line::Line,
+    link::{Ask, Tell},
+    reduce::reduce,
+    state::State,
     store,
 };
 use gcl_platform::{line, probe::Probe, promotion, store::Client};
@@ -45,6 +53,21 @@
 #[rtype(result = "()")]
 pub struct Refused(pub io::Error);
 
+/// Something happened on a stream between daemons; `serial` names the one that this daemon opened.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct Streamed {
+    /// The stream to a host.
+    pub serial: Option<link::Serial>,
+    /// What happened.
+    pub event: gcl_direct::link::Event,
+}
+
+/// A message of another daemon that could not be read or written.
+#[derive(Debug, Message)]
+#[rtype(result = "()")]
+pub struct Unread(pub CompactString);
+
 /// The process was told to stop.
 #[derive(Debug, Message)]
 #[rtype(result = "()")]
@@ -83,6 +106,9 @@
 pub struct Links {
     callers: IndexMap<id::Session, UnboundedSender<caller::Effect>>,
     backends: IndexMap<id::Connection, UnboundedSender<Call>>,
+    hosts: IndexMap<id::Daemon, (link::Serial, UnboundedSender<Ask>)>,
+    guests: IndexMap<gcl_direct::link::Id, UnboundedSender<Tell>>,
+    dialed: link::Serial,
     wake: Option<(Duration, SpawnHandle)>,
     exit: Option<oneshot::Sender<()>>,
 }
@@ -90,7 +116,15 @@
 impl Links {
     /// No connections yet; `exit` is told when the daemon has nothing left to do.
     pub fn new(exit: oneshot::Sender<()>) -> Self {
-        Self { callers: IndexMap::new(), backends: IndexMap::new(), wake: None, exit: Some(exit) }
+        Self {
+            callers: IndexMap::new(),
+            backends: IndexMap::new(),
+            hosts: IndexMap::new(),
+            guests: IndexMap::new(),
+            dialed: 0,
+            wake: None,
+            exit: Some(exit),
+        }
     }
 }
 
@@ -135,6 +169,7 @@
                 });
             }
             Effect::Peer { address, digest } => self.peers.tell(&address, &digest),
+            Effect::Link(call) => self.call_link(ctx, call),
             Effect::Log(line) => self.log(ctx, now, &line),
             Effect::Metric(measurement) => metric::report(measurement),
             Effect::Ready(ready) => self.probe.set(ready),
@@ -177,6 +212,41 @@
         }
     }
 
+    fn call_link(&mut self, ctx: &mut Context<Self>, call: gcl_direct::link::Call) {
+        use gcl_direct::link::Call;
+        match call {
+            Call::Ask { host, address, ask } => {
+                let known = self.links.hosts.get(&host).map(|(_, asks)| asks.clone());
+                let asks = known.unwrap_or_else(|| self.dial(ctx, host, address));
+                // The end of a stream is reported by its own event.
+                let _ = asks.send(ask);
+            }
+            Call::Tell(link, tell) => {
+                if let Some(tells) = self.links.guests.get(&link) {
+                    // As above.
+                    let _ = tells.send(tell);
+                }
+            }
+            Call::Close(host) => {
+                self.links.hosts.swap_remove(&host);
+            }
+        }
+    }
+
+    fn dial(
+        &mut self,
+        ctx: &mut Context<Self>,
+        host: id::Daemon,
+        address: CompactString,
+    ) -> UnboundedSender<Ask> {
+        let (asks, orders) = unbounded_channel();
+        self.links.dialed += 1;
+        let serial = self.links.dialed;
+        self.links.hosts.insert(host.clone(), (serial, asks.clone()));
+        actix_rt::spawn(link::dial(host, serial, address, orders, ctx.address()));
+        asks
+    }
+
     fn call_store(&self, ctx: &mut Context<Self>, call: store::Call) {
         let (client, shell) = (self.store.clone(), ctx.address());
         metrics::counter!("gcl_store_calls", "name" => call.name()).increment(1);
@@ -245,6 +315,49 @@
     }
 }
 
+impl Handler<Streamed> for Shell {
+    type Result = ();
+
+    fn handle(&mut self, msg: Streamed, ctx: &mut Self::Context) {
+        use gcl_direct::link::Event as Link;
+        match &msg.event {
+            Link::Told(host, _) | Link::Down { host, .. } => {
+                let current = self.links.hosts.get(host).map(|(serial, _)| *serial);
+                if current != msg.serial {
+                    return;
+                }
+                if matches!(msg.event, Link::Down { .. }) {
+                    self.links.hosts.swap_remove(host);
+                }
+            }
+            Link::Left(link) => {
+                self.links.guests.swap_remove(link);
+            }
+            Link::Asked(..) => {}
+        }
+        self.step(ctx, Event::Link(msg.event));
+    }
+}
+
+impl Handler<link::Joined> for Shell {
+    type Result = ();
+
+    fn handle(&mut self, msg: link::Joined, _ctx: &mut Self::Context) {
+        self.links.guests.insert(msg.link, msg.tells);
+    }
+}
+
+impl Handler<Unread> for Shell {
+    type Result = ();
+
+    fn handle(&mut self, Unread(detail): Unread, ctx: &mut Self::Context) {
+        metrics::counter!("gcl_messages_unread").increment(1);
+        let line = Line::failure("message between daemons left aside").with("detail", detail);
+        let now = self.clock.now();
+        self.log(ctx, now, &line);
+    }
+}
+
 impl Handler<Refused> for Shell {
     type Result = ();
 
--- a/crates/gcl-direct/src/caller.rs
+++ b/crates/gcl-direct/src/caller.rs
@@ -4,6 +4,7 @@
 use bytes::Bytes;
 use compact_str::CompactString;
 use gcl_core::{batch::Status, code::Fault, id, mark::Mark};
+use serde::{Deserialize, Serialize};
 
 /// What a caller's connection did.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -24,7 +25,7 @@
 }
 
 /// A message for the caller.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Reply {
     /// A row, passed on as the server sent it.
     Row(Bytes),
--- a/crates/gcl-direct/src/config.rs
+++ b/crates/gcl-direct/src/config.rs
@@ -3,10 +3,11 @@
 use compact_str::CompactString;
 use gcl_core::id;
 use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
 use std::{sync::Arc, time::Duration};
 
 /// How recent the data must be that a route's reads see.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Freshness {
     /// Every acknowledged commit.
     Latest,
@@ -28,7 +29,7 @@
 }
 
 /// Where a service's statements go, and on which terms.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Route {
     /// The rule's name.
     pub rule: id::Rule,
@@ -47,14 +48,14 @@
 }
 
 /// What is known of a database beside its servers.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Database {
     /// Most connections that one of its servers accepts.
     pub connections: usize,
 }
 
 /// A workspace's share of the system.
-#[derive(Clone, Copy, Debug, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Workspace {
     /// Operations a second.
     pub rate: f64,
@@ -63,7 +64,7 @@
 }
 
 /// One version of the configuration.
-#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Config {
     /// Its version; a greater one is newer.
     pub version: u64,
--- a/crates/gcl-direct/src/effect.rs
+++ b/crates/gcl-direct/src/effect.rs
@@ -1,6 +1,6 @@
 //! Everything that the reducer can ask of its shell, as data.
 
-use crate::{backend, caller, gossip::Digest, line::Line, store};
+use crate::{backend, caller, gossip::Digest, line::Line, link, store};
 use compact_str::CompactString;
 use gcl_core::{id, metric::Metric};
 use std::time::Duration;
@@ -30,6 +30,8 @@
         /// What it is told.
         digest: Box<Digest>,
     },
+    /// Acts on a stream to another daemon.
+    Link(link::Call),
     /// Writes a line of the log.
     Log(Line),
     /// Reports a measurement.
@@ -72,6 +74,11 @@
         self.push(Effect::Store(call));
     }
 
+    /// Acts on a stream to another daemon.
+    pub fn link(&mut self, call: link::Call) {
+        self.push(Effect::Link(call));
+    }
+
     /// Writes a line of the log.
     pub fn log(&mut self, line: Line) {
         self.push(Effect::Log(line));
--- a/crates/gcl-direct/src/event.rs
+++ b/crates/gcl-direct/src/event.rs
@@ -1,6 +1,6 @@
 //! Everything that can happen to a daemon, as one type.
 
-use crate::{backend, caller, gossip::Digest, settings::Settings, store};
+use crate::{backend, caller, gossip::Digest, link, settings::Settings, store};
 use gcl_core::{code::Fault, id};
 
 /// Something that happened, fed to the reducer with the time.
@@ -23,6 +23,8 @@
     },
     /// Another daemon tells what it believes.
     Peer(Box<Digest>),
+    /// Something happened on a stream between daemons.
+    Link(link::Event),
     /// The settings file was read again.
     Settings {
         /// What it holds now.
--- a/crates/gcl-direct/src/failover/mod.rs
+++ b/crates/gcl-direct/src/failover/mod.rs
@@ -305,10 +305,15 @@
     candidates.collect()
 }
 
-/// Takes note that a server told its log position.
-pub fn on_report(daemon: &mut Daemon, now: Now, server: &id::Server) {
+/// Takes note that a server told its log position when it was asked at `sent`.
+pub fn on_report(daemon: &mut Daemon, now: Now, server: &id::Server, sent: Duration) {
     if let Some(entry) = daemon.directory.get(server) {
-        let key = timer::Key::Failover(entry.database.clone());
+        let database = entry.database.clone();
+        let mark = daemon.pools.get(server).and_then(|pool| pool.mark);
+        if let Some(mark) = mark.filter(|_| right::covers(daemon, now, &database, server)) {
+            daemon.groups.entry(database.clone()).or_default().history.observe(sent, mark);
+        }
+        let key = timer::Key::Failover(database);
         daemon.timers.arm_by(key, now.mono);
     }
 }
--- a/crates/gcl-direct/src/follow.rs
+++ b/crates/gcl-direct/src/follow.rs
@@ -11,9 +11,11 @@
     effect::Effects,
     failover,
     group::{self, Intention},
-    lease, limit,
+    home, lease, limit,
     line::Line,
-    member, pool, request, right, session,
+    member, pool, request, right,
+    role::{self, Role},
+    session,
     state::{Member, State as Daemon},
     store::{Call, Contents, Event, Failure, Item, Result, Topic},
     timer,
@@ -27,6 +29,9 @@
 /// Pause between watches of the daemons' own keys: each change there ends the watch of every daemon,
 /// and what is urgent about them is told by digests.
 const OWN_PAUSE: Duration = Duration::from_secs(2);
+/// Pause between watches of the configuration in a fleet with homes, whose bounds leave the time for
+/// it, so that versions that come together end one watch.
+const CONFIG_PAUSE: Duration = Duration::from_millis(900);
 /// Pause between watches of the servers, so that changes that come together end one watch.
 const SERVERS_PAUSE: Duration = Duration::from_millis(200);
 /// The same while a deployment starts, when every server registers itself.
@@ -90,17 +95,18 @@
     }
 }
 
-/// Reads every topic.
-pub fn start(fx: &mut Effects) {
+/// Follows every topic, as a host does.
+pub fn start(daemon: &Daemon, fx: &mut Effects) {
     for topic in Topic::ALL {
-        fx.store(Call::Read(topic));
+        on_timer(daemon, fx, topic);
     }
 }
 
 /// Asks again for a topic whose call failed.
 pub fn on_timer(daemon: &Daemon, fx: &mut Effects, topic: Topic) {
     let known = daemon.follow.topics.get(&topic).copied().unwrap_or_default();
-    fx.store(if known.read { Call::Watch(topic, known.revision) } else { Call::Read(topic) });
+    let watches = known.read && daemon.role.current == Role::Host;
+    fx.store(if watches { Call::Watch(topic, known.revision) } else { Call::Read(topic) });
 }
 
 /// Acts on an event of the store.
@@ -155,10 +161,13 @@
             }
             known.revision = revision.max(known.revision);
             known.read = true;
-            if first || (!whole && topic == Topic::Config) {
+            if daemon.role.current != Role::Host {
+                // An entry follows nothing; it becomes a host or asks hosts.
+            } else if first {
                 fx.store(Call::Watch(topic, known.revision));
             } else if !whole {
-                daemon.timers.arm(timer::Key::Store(topic), now.mono + pause(topic, now));
+                let pause = pause(daemon, topic, now);
+                daemon.timers.arm(timer::Key::Store(topic), now.mono + pause);
             }
             apply(daemon, now, fx, contents, whole);
             if whole && topic == Topic::Own {
@@ -170,11 +179,13 @@
 }
 
 /// Time between a watch that brought changes and the next.
-fn pause(topic: Topic, now: Now) -> Duration {
+fn pause(daemon: &Daemon, topic: Topic, now: Now) -> Duration {
     match topic {
         Topic::Own => OWN_PAUSE,
+        Topic::Config if home::in_use(daemon) => CONFIG_PAUSE,
+        Topic::Config => Duration::ZERO,
         _ if now.mono < START => START_PAUSE,
-        _ => SERVERS_PAUSE,
+        Topic::Servers => SERVERS_PAUSE,
     }
 }
 
@@ -212,7 +223,7 @@
 fn apply(daemon: &mut Daemon, now: Now, fx: &mut Effects, contents: Contents, whole: bool) {
     match contents {
         Contents::Config(None) => {}
-        Contents::Config(Some(Ok(config))) => on_config(daemon, now, fx, *config),
+        Contents::Config(Some(Ok(config))) => on_config(daemon, now, fx, config.into()),
         Contents::Config(Some(Err(fault))) => {
             fx.log(Line::belief("configuration refused").with("fault", fault));
         }
@@ -221,7 +232,8 @@
     }
 }
 
-fn on_config(daemon: &mut Daemon, now: Now, fx: &mut Effects, config: Config) {
+/// Puts a configuration in force, unless a newer one is.
+pub fn on_config(daemon: &mut Daemon, now: Now, fx: &mut Effects, config: Arc<Config>) {
     let before = daemon.config.as_ref().map_or(0, |config| config.version);
     if config.version <= before {
         return;
@@ -229,7 +241,7 @@
     let line = Line::belief("configuration in force").with("version", config.version);
     fx.log(line.with("before", before).with("routes", config.routes.len()));
     daemon.limit = limit::State::follow(&daemon.limit, &config);
-    daemon.config = Some(Arc::new(config));
+    daemon.config = Some(config);
     session::on_config(daemon, now, fx);
 }
 
@@ -351,6 +363,7 @@
             on_intention(daemon, now, fx, &id::Database::from(database), &item);
         }
     }
+    role::on_members(daemon, now, fx, whole);
     failover::review_all(daemon, now, fx);
 }
 
--- a/crates/gcl-direct/src/gossip.rs
+++ b/crates/gcl-direct/src/gossip.rs
@@ -22,10 +22,11 @@
     failover,
     follow::RECENT,
     group::{self, Intention},
+    home,
     lease::Release,
     limit,
     line::Line,
-    right,
+    news, pool, right,
     state::State as Daemon,
     timer,
 };
@@ -128,6 +129,7 @@
 }
 
 /// What a daemon believes.
+#[expect(clippy::struct_excessive_bools, reason = "each is a belief of its own")]
 #[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 pub struct Digest {
     /// The sender.
@@ -156,6 +158,10 @@
     pub alarm: bool,
     /// Primaries that the sender uses, while one is in doubt.
     pub reaches: Vec<Reach>,
+    /// The version of the configuration that the sender has in force.
+    pub config: u64,
+    /// Whether other daemons send the sender their callers' statements.
+    pub visited: bool,
     /// To a delegate, the sender's cell; to the sender's cell, those it is the delegate to.
     pub summaries: Vec<Summary>,
 }
@@ -321,6 +327,19 @@
     daemon.gossip.heard(now).any(|(_, digest)| digest.ready)
 }
 
+/// Whether another daemon says that it is sent statements.
+#[must_use]
+pub fn others_visited(daemon: &Daemon, now: Now) -> bool {
+    daemon.gossip.heard(now).any(|(_, digest)| digest.visited)
+}
+
+/// Whether a host takes statements; one in another cell is taken at its listing.
+#[must_use]
+pub fn serves(daemon: &Daemon, now: Now, name: &id::Daemon) -> bool {
+    let heard = daemon.gossip.peers.get(name).filter(|peer| now.since(peer.heard) < SILENCE);
+    heard.map_or_else(|| !daemon.gossip.counts(name), |peer| peer.digest.ready)
+}
+
 /// Whether most of the daemons that were listed of late are heard.
 #[must_use]
 pub fn in_majority(daemon: &Daemon, now: Now) -> bool {
@@ -392,6 +411,7 @@
     let period = if urgent { URGENT_PERIOD } else { period(daemon) };
     daemon.timers.arm(timer::Key::Gossip, now.mono + period);
     daemon.gossip.told = now.mono;
+    home::refresh(daemon, now);
     daemon.gossip.round = daemon.gossip.round.wrapping_add(1);
     let to_all = std::mem::take(&mut daemon.gossip.to_all) || urgent;
     daemon.gossip.layout = cell::layout(daemon.members.keys(), &daemon.settings.daemon);
@@ -501,6 +521,8 @@
         } else {
             Vec::new()
         },
+        config: daemon.config.as_ref().map_or(0, |config| config.version),
+        visited: home::is_visited(daemon, now),
         summaries: Vec::new(),
     }
 }
@@ -563,8 +585,9 @@
     let peer = daemon.gossip.peers.entry(from.clone()).or_default();
     (peer.heard, peer.digest) = (now.mono, digest.clone());
     if digest.alarm && !digest.reaches.is_empty() {
-        on_alarm(daemon, now, digest);
+        on_alarm(daemon, now, fx, digest);
     }
+    news::on_version(daemon, now, fx, &from, digest.config);
     for summary in &digest.summaries {
         on_summary(daemon, now, &from, summary);
     }
@@ -607,9 +630,14 @@
 }
 
 /// Joins in when another daemon does not reach a primary.
-fn on_alarm(daemon: &mut Daemon, now: Now, digest: &Digest) {
-    if digest.reaches.iter().any(|reach| !reach.answers) {
+fn on_alarm(daemon: &mut Daemon, now: Now, fx: &mut Effects, digest: &Digest) {
+    let silent = digest.reaches.iter().filter(|reach| !reach.answers);
+    for reach in silent {
         alarm(daemon, now);
+        if home::in_use(daemon) && daemon.directory.contains_key(&reach.server) {
+            // Only its home uses it, whose word alone does not tell a cut from a crash.
+            pool::ask(daemon, now, fx, &reach.server);
+        }
     }
 }
 
--- /dev/null
+++ b/crates/gcl-direct/src/guest.rs
@@ -0,0 +1,175 @@
+//! Statements of other daemons' callers, which this daemon runs as a host.
+//!
+//! A guest is a session that lives only while an operation does. What it needs to know of the session
+//! at the entry comes with the operation's first statement; key and route were checked there, the
+//! workspace's rate is counted here.
+
+use crate::{
+    caller::Reply,
+    drain,
+    effect::Effects,
+    line::Line,
+    link::{self, Answer, Begin, Call, Run, Tell},
+    session::{self, Open, Session, Transaction},
+    state::State as Daemon,
+};
+use gcl_core::{
+    batch::Status,
+    code::{Code, Fault},
+    id,
+    time::Now,
+};
+use indexmap::IndexMap;
+use std::sync::Arc;
+
+/// Marks the ids of guests, which the shell's own count never reaches.
+const GUEST_BIT: u64 = 1 << 63;
+/// Largest answer that is passed to an entry, in bytes of rows.
+const MOST_ANSWER_BYTES: usize = 8 << 20;
+
+/// Whose statement a session runs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Guest {
+    /// The stream that it came on.
+    pub link: link::Id,
+    /// The session at the entry.
+    pub session: id::Session,
+    /// The last [`Run::serial`].
+    pub serial: u64,
+}
+
+/// Guests by stream and session at the entry.
+pub type Guests = IndexMap<(link::Id, id::Session), id::Session>;
+
+/// Runs a statement for an entry.
+pub fn on_run(daemon: &mut Daemon, now: Now, fx: &mut Effects, link: link::Id, run: Run) {
+    let Run { session: theirs, serial, begin, values, prepared, query, left } = run;
+    let known = daemon.guests.get(&(link, theirs)).copied();
+    let guest = Guest { link, session: theirs, serial };
+    let session = match (begin, known) {
+        (None, Some(session)) => session,
+        (None, None) => {
+            let fault = Fault::new(Code::TransactionLost, "the transaction is not known here");
+            return refuse(fx, guest, Status::Failed, fault);
+        }
+        (Some(begin), stale) => {
+            if let Some(stale) = stale {
+                session::forget(daemon, now, fx, stale);
+            }
+            if !drain::admits(daemon, now) {
+                let fault = Fault::new(Code::Draining, "the host stops");
+                return refuse(fx, guest, Status::Idle, fault);
+            }
+            welcome(daemon, now, guest, begin)
+        }
+    };
+    let Some(entry) = daemon.sessions.get_mut(&session) else {
+        return;
+    };
+    if entry.request.is_some() {
+        let fault = Fault::new(Code::Protocol, "a statement of the session is under way");
+        return refuse(fx, guest, entry.transaction.status(), fault);
+    }
+    entry.guest = Some(guest);
+    entry.values = values;
+    entry.prepared.extend(prepared);
+    let taken = Line::routine("taken for an entry").with("request", &query.id);
+    fx.log(taken.with("link", link).with("session", session));
+    session::run_guest(daemon, now, fx, session, query, left);
+}
+
+fn welcome(daemon: &mut Daemon, now: Now, guest: Guest, begin: Begin) -> id::Session {
+    let Begin { workspace, route, floor, transaction } = begin;
+    let session = daemon.next_id() | GUEST_BIT;
+    let mut entry = Session { workspace, guest: Some(guest), ..Session::default() };
+    if let Some(floor) = floor {
+        entry.floors.insert(route.database.clone(), floor);
+    }
+    entry.service.clone_from(&route.rule);
+    entry.guest_route = Some(Arc::clone(&route));
+    if let Some((read_only, age)) = transaction {
+        let since = now.mono.saturating_sub(age);
+        entry.transaction = Transaction::Open(Box::new(Open::new(read_only, route, since, false)));
+    }
+    daemon.sessions.insert(session, entry);
+    daemon.guests.insert((guest.link, guest.session), session);
+    session
+}
+
+fn refuse(fx: &mut Effects, guest: Guest, status: Status, fault: Fault) {
+    let answer = Answer {
+        session: guest.session,
+        serial: guest.serial,
+        replies: vec![Reply::Error(fault)],
+        status,
+        mark: None,
+        floor: None,
+    };
+    fx.link(Call::Tell(guest.link, Tell::Answer(Box::new(answer))));
+}
+
+/// Answers a guest's statement. A guest whose operation is over is forgotten.
+pub fn answer(
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    session: id::Session,
+    guest: Guest,
+    mut replies: Vec<Reply>,
+) {
+    let Some(entry) = daemon.sessions.get(&session) else {
+        return;
+    };
+    if size(&replies) > MOST_ANSWER_BYTES {
+        let fault = Fault::new(Code::AnswerTooLarge, "the rows are too many to pass on");
+        replies = vec![Reply::Error(fault)];
+    }
+    let answer = Answer {
+        session: guest.session,
+        serial: guest.serial,
+        replies,
+        status: entry.transaction.status(),
+        mark: entry.mark,
+        floor: entry.floors.values().max().copied(),
+    };
+    let over = answer.status != Status::Open;
+    fx.link(Call::Tell(guest.link, Tell::Answer(Box::new(answer))));
+    if over {
+        session::forget(daemon, now, fx, session);
+    }
+}
+
+fn size(replies: &[Reply]) -> usize {
+    let rows = replies.iter().map(|reply| match reply {
+        Reply::Row(row) => row.len(),
+        _ => 0,
+    });
+    rows.sum()
+}
+
+/// Ends what a session at an entry has under way here.
+pub fn on_forget(
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    link: link::Id,
+    session: id::Session,
+) {
+    if let Some(guest) = daemon.guests.get(&(link, session)).copied() {
+        session::forget(daemon, now, fx, guest);
+    }
+}
+
+/// Ends all that came on a stream.
+pub fn on_left(daemon: &mut Daemon, now: Now, fx: &mut Effects, link: link::Id) {
+    let left = daemon.guests.iter().filter(|((from, _), _)| *from == link);
+    let left: Vec<_> = left.map(|(_, guest)| *guest).collect();
+    for guest in left {
+        session::forget(daemon, now, fx, guest);
+    }
+}
+
+/// Takes note that a guest's session was forgotten.
+pub fn on_forgotten(daemon: &mut Daemon, guest: Guest) {
+    daemon.guests.swap_remove(&(guest.link, guest.session));
+}
--- /dev/null
+++ b/crates/gcl-direct/src/home.rs
@@ -0,0 +1,202 @@
+//! Which host carries a database's statements.
+//!
+//! In a fleet with more daemons than a server has connections, no daemon can keep a connection for
+//! each workspace. So one host in each region is the home of a database there: it holds the
+//! connections to the database's servers of that region, one for each workspace, and sees the whole
+//! queue before them. It is found by weighted rendezvous hashing over the hosts that serve, so that
+//! daemons which know the same hosts agree, and a host that leaves moves only what it carried. Two
+//! daemons that take themselves for the same home are harmless: connections, rights and positions
+//! hold at whoever sends.
+//!
+//! Small fleets, where every daemon is a host, keep their own connections to all servers.
+
+use crate::{
+    directory, drain, gossip,
+    group::Leader,
+    right,
+    role::{self, Role},
+    state::State as Daemon,
+    timer,
+};
+use gcl_core::{id, rendezvous, time::Now};
+use indexmap::IndexMap;
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// Most hosts that keep connections to all servers, while no other daemon sends them statements.
+const MOST_DIRECT: usize = 12;
+
+/// How long a home keeps its share of the connections after another host became the home.
+const HANDED_ON: Duration = Duration::from_secs(3);
+/// How long a statement of another daemon shows that there are some that need a home.
+const VISITED: Duration = Duration::from_secs(20);
+
+/// Where a database's servers are.
+#[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Site {
+    /// The database.
+    pub database: id::Database,
+    /// The failure domain of its primary, or of the server that is about to be.
+    pub primary: Option<id::Domain>,
+    /// The failure domains of its servers.
+    pub domains: Vec<id::Domain>,
+}
+
+/// A host that may be a home.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Candidate<'a> {
+    /// The host.
+    pub name: &'a id::Daemon,
+    /// Whether it is in the failure domain of one of the database's servers.
+    pub near: bool,
+    /// What its VM can carry, in thousandths of a core.
+    pub millicores: u32,
+}
+
+/// Orders hosts of one region for a database; the first is its home there.
+#[must_use]
+pub fn order<'a>(database: &str, mut hosts: Vec<Candidate<'a>>) -> Vec<&'a id::Daemon> {
+    hosts.sort_by_cached_key(|host| (!host.near, cost(database, host), host.name));
+    hosts.into_iter().map(|host| host.name).collect()
+}
+
+/// The cost of weighted rendezvous hashing; the least wins, in proportion to the weight.
+#[expect(
+    clippy::cast_precision_loss,
+    clippy::cast_possible_truncation,
+    clippy::cast_sign_loss,
+    reason = "53 bits tell hosts apart, and the cost is positive and far below 2^64"
+)]
+fn cost(database: &str, host: &Candidate<'_>) -> u64 {
+    let drawn = (rendezvous::weight(database, host.name) as f64 + 1.0) / 2.0_f64.powi(64);
+    let cost = -drawn.ln() / f64::from(host.millicores.max(1));
+    (cost * 1e12) as u64
+}
+
+/// What a host carries for others.
+#[derive(Clone, Debug, Default)]
+pub struct State {
+    /// Databases that this daemon is home of in its region, and until when if it no longer is.
+    carried: IndexMap<id::Database, Option<Duration>>,
+    /// Whether homes are in use.
+    in_use: bool,
+    /// When another daemon last sent a statement.
+    visited: Option<Duration>,
+}
+
+impl State {
+    /// Whether this daemon is home of a database in its own region.
+    #[must_use]
+    pub fn carries(&self, database: &str) -> bool {
+        self.in_use && self.carried.contains_key(database)
+    }
+}
+
+/// Whether statements go to homes.
+#[must_use]
+pub const fn in_use(daemon: &Daemon) -> bool {
+    !matches!(daemon.role.current, Role::Host) || daemon.home.in_use
+}
+
+/// Whether a server's connections are this daemon's, as the home of its database in its region.
+#[must_use]
+pub fn carries(daemon: &Daemon, server: &str) -> bool {
+    daemon.directory.get(server).is_some_and(|entry| {
+        daemon.settings.distance(&entry.domain) < 2 && daemon.home.carries(&entry.database)
+    })
+}
+
+/// Takes note of a statement for another daemon.
+pub fn on_visit(daemon: &mut Daemon, now: Now) {
+    let known = daemon.home.visited.is_some_and(|at| now.since(at) < VISITED);
+    daemon.home.visited = Some(now.mono);
+    if !known {
+        refresh(daemon, now);
+    }
+}
+
+/// Whether other daemons sent this one statements of late.
+#[must_use]
+pub fn is_visited(daemon: &Daemon, now: Now) -> bool {
+    daemon.home.visited.is_some_and(|at| now.since(at) < VISITED)
+}
+
+/// Finds out anew whether homes are in use, and what this daemon carries.
+pub fn refresh(daemon: &mut Daemon, now: Now) {
+    // A home that stops as planned carries on to its end.
+    if daemon.role.current != Role::Host || daemon.drain != drain::State::Serving {
+        return;
+    }
+    let before = daemon.home.clone();
+    let visited = is_visited(daemon, now) || gossip::others_visited(daemon, now);
+    daemon.home.in_use = visited || daemon.members.len() > MOST_DIRECT;
+    daemon.home.carried = if daemon.home.in_use { carried(daemon, now) } else { IndexMap::new() };
+    let after = &daemon.home;
+    if (before.in_use, &before.carried) != (after.in_use, &after.carried) {
+        // Connections beyond the new shares are closed.
+        for server in daemon.pools.keys() {
+            daemon.timers.arm_by(timer::Key::Surplus(server.clone()), now.mono);
+        }
+    }
+}
+
+/// The databases that this daemon is home of, and those that it was home of until just now: other
+/// daemons go on sending it statements until they hear of the new home.
+fn carried(daemon: &Daemon, now: Now) -> IndexMap<id::Database, Option<Duration>> {
+    let Some(region) = daemon.settings.region(&daemon.settings.domain) else {
+        return IndexMap::new();
+    };
+    let own = |database: &id::Database| {
+        let site = site(daemon, database);
+        homes(daemon, now, &site, region).first().is_some_and(|it| **it == daemon.settings.daemon)
+    };
+    let kept = daemon.groups.keys().filter_map(|database| {
+        let until = match daemon.home.carried.get(database) {
+            _ if own(database) => None,
+            Some(until) => Some(until.unwrap_or(now.mono + HANDED_ON)),
+            None => return None,
+        };
+        until.is_none_or(|until| now.mono < until).then(|| (database.clone(), until))
+    });
+    kept.collect()
+}
+
+/// Where a database's servers are, as far as this daemon knows.
+#[must_use]
+pub fn site(daemon: &Daemon, database: &id::Database) -> Site {
+    if daemon.role.current != Role::Host {
+        return daemon.news.site(database);
+    }
+    let domain = |server: &str| daemon.directory.get(server).map(|entry| entry.domain.clone());
+    let group = daemon.groups.get(database);
+    let next = group.and_then(|group| group.moved.as_ref()).map(|moved| &moved.intention.to);
+    let last = group.and_then(|group| group.last.as_ref());
+    let primary = match right::leader(daemon, database) {
+        Leader::Known(server) => domain(&server),
+        Leader::Moving => next.and_then(|server| domain(server)),
+        Leader::Unknown => last.and_then(|server| domain(server)),
+    };
+    let servers = directory::servers(&daemon.directory, database);
+    let domains = servers.map(|(_, entry)| entry.domain.clone()).collect();
+    Site { database: database.clone(), primary, domains }
+}
+
+/// The hosts of a region that serve, the home of a database first.
+#[must_use]
+pub fn homes<'a>(
+    daemon: &'a Daemon,
+    now: Now,
+    site: &Site,
+    region: &id::Region,
+) -> Vec<&'a id::Daemon> {
+    let there = daemon.members.iter().filter(|(name, member)| {
+        daemon.settings.region(&member.record.domain) == Some(region)
+            && role::serves(daemon, now, name)
+    });
+    let candidates = there.map(|(name, member)| Candidate {
+        name,
+        near: site.domains.contains(&member.record.domain),
+        millicores: member.record.millicores,
+    });
+    order(&site.database, candidates.collect())
+}
--- a/crates/gcl-direct/src/lease.rs
+++ b/crates/gcl-direct/src/lease.rs
@@ -37,6 +37,9 @@
     pub address: CompactString,
     /// Its failure domain.
     pub domain: id::Domain,
+    /// What its VM can carry, in thousandths of a core.
+    #[serde(default)]
+    pub millicores: u32,
     /// What it has acknowledged for each database.
     pub acknowledged: IndexMap<id::Database, Release>,
 }
--- a/crates/gcl-direct/src/lib.rs
+++ b/crates/gcl-direct/src/lib.rs
@@ -1,8 +1,9 @@
 //! Decisions of daemons that hold their own connections to every backend server.
 //!
-//! `gcl-core` decides for fleets in which each server has one home. Where a few dozen daemons share
-//! servers that accept as many connections, a hop to a home costs more than it saves, and each
-//! daemon runs its callers' statements itself. The shape is the same: a daemon is a
+//! `gcl-core` decides for fleets in which each server has one home. Here a few daemons of each failure
+//! domain are hosts ([`role`]). Where that is all of them, each runs its callers' statements itself;
+//! in a larger fleet the hosts run the statements of all, each for the databases that it is home of
+//! ([`home`]). The shape is the same: a daemon is a
 //! [`state::State`], [`reduce::reduce`] leads from [`event::Event`]s to [`effect::Effect`]s, and the
 //! crate does no I/O, reads no clock and draws no randomness of its own.
 
@@ -16,13 +17,19 @@
 pub mod effect;
 pub mod event;
 pub mod failover;
+pub mod feed;
 pub mod follow;
+pub mod forward;
 pub mod gossip;
 pub mod group;
+pub mod guest;
+pub mod home;
 pub mod lease;
 pub mod limit;
 pub mod line;
+pub mod link;
 pub mod member;
+pub mod news;
 pub mod observation;
 pub mod place;
 pub mod pool;
@@ -30,6 +37,7 @@
 pub mod reduce;
 pub mod request;
 pub mod right;
+pub mod role;
 pub mod session;
 pub mod settings;
 pub mod state;
--- a/crates/gcl-direct/src/member.rs
+++ b/crates/gcl-direct/src/member.rs
@@ -6,6 +6,7 @@
     lease::{self, RENEWAL, RETRY, Release, Stage, TIME},
     line::Line,
     right,
+    role::Role,
     state::State as Daemon,
     store::{Call, Failure, Result, Topic, Written},
     timer,
@@ -19,6 +20,7 @@
     daemon.lease.record.incarnation = daemon.incarnation;
     daemon.lease.record.address = daemon.settings.peer_address.clone();
     daemon.lease.record.domain = daemon.settings.domain.clone();
+    daemon.lease.record.millicores = daemon.settings.millicores;
     daemon.lease.stage = Stage::Asked;
     daemon.lease.sent = now.mono;
     fx.store(Call::Grant(TIME.max(daemon.settings.bounds.lease_min)));
@@ -207,6 +209,9 @@
 /// Whether the daemon can serve callers: it knows where to send them, and may use primaries.
 #[must_use]
 pub fn can_serve(daemon: &Daemon, now: Now) -> bool {
+    if daemon.role.current != Role::Host {
+        return daemon.config.is_some() && daemon.news.is_fresh(now);
+    }
     let knows = daemon.config.as_ref().is_some_and(|config| {
         config.databases.keys().any(|database| right::primary(daemon, now, database).is_ok())
     });
--- a/crates/gcl-direct/src/pool.rs
+++ b/crates/gcl-direct/src/pool.rs
@@ -9,6 +9,7 @@
     backend::{Call, Command, Refusal},
     connection::{Connection, Phase, Step, Values},
     effect::Effects,
+    home,
     line::Line,
     queue::{self, Waiter},
     request,
@@ -45,6 +46,8 @@
 /// more for a moment, and for a fleet that starts again while the server still holds the connections
 /// of its earlier life.
 const SHARED_PERCENT: usize = 50;
+/// Part of a server's connections that its home keeps, in percent.
+const HOME_PERCENT: usize = 88;
 
 /// What this daemon knows of the way to a server.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -162,6 +165,26 @@
     Share { kept, most: kept * MOST_SHARES }
 }
 
+/// The share of a daemon where servers have homes: the home keeps most of the connections, and the
+/// rest is a reserve for daemons that do without it.
+#[must_use]
+pub fn share_with_homes(connections: usize, members: usize, is_home: bool) -> Share {
+    let kept = connections * HOME_PERCENT / 100;
+    let reserve = (connections - kept) / members.max(1);
+    if is_home {
+        return Share { kept: kept.max(1), most: (connections - reserve).max(1) };
+    }
+    Share { kept: 0, most: reserve.max(1) }
+}
+
+/// Statements of this daemon that a server is sent at the same time, no limit without homes.
+fn most_running(daemon: &Daemon, server: &str) -> usize {
+    match daemon.directory.get(server) {
+        Some(entry) if home::carries(daemon, server) => queue::depth(entry.slots),
+        _ => usize::MAX,
+    }
+}
+
 /// The share of this daemon for a server.
 fn share_of(daemon: &Daemon, server: &str) -> Share {
     let database = daemon.directory.get(server).map(|entry| &entry.database);
@@ -169,6 +192,10 @@
     let Some(known) = database.and_then(|database| config?.databases.get(database)) else {
         return share(1, 1, 0);
     };
+    if home::in_use(daemon) {
+        let is_home = home::carries(daemon, server);
+        return share_with_homes(known.connections, daemon.members.len(), is_home);
+    }
     let own = rendezvous::weight(server, &daemon.settings.daemon);
     let before = daemon.members.keys().filter(|name| rendezvous::weight(server, name) > own);
     share(known.connections, daemon.members.len(), before.count())
@@ -197,9 +224,16 @@
 pub fn pump(daemon: &mut Daemon, now: Now, fx: &mut Effects, server: &id::Server) {
     let waiting = ordered(daemon, now, server);
     let mut unserved = Vec::new();
+    let mut free = most_running(daemon, server).saturating_sub(running(daemon, server));
     for waiter in waiting {
+        if free == 0 {
+            break;
+        }
         match idle_for(daemon, server, &waiter) {
-            Some(connection) => assign(daemon, now, fx, server, connection, waiter.session),
+            Some(connection) => {
+                free -= 1;
+                assign(daemon, now, fx, server, connection, waiter.session);
+            }
             None => unserved.push(waiter),
         }
     }
@@ -230,6 +264,15 @@
     pool.waiting.len() + open_in(daemon, pool).filter(|known| known.session.is_some()).count()
 }
 
+/// Commands that a server has not answered, of this daemon's.
+fn running(daemon: &Daemon, server: &str) -> usize {
+    let Some(pool) = daemon.pools.get(server) else {
+        return 0;
+    };
+    let busy = open_in(daemon, pool).filter(|known| known.step.is_some());
+    busy.count()
+}
+
 /// Whether a connection for a workspace is ready.
 #[must_use]
 pub fn is_warm(daemon: &Daemon, pool: &Pool, workspace: &str) -> bool {
@@ -267,6 +310,9 @@
 /// Connections to a server that this daemon may open at the same time.
 fn most_opening(daemon: &Daemon, server: &str) -> usize {
     let slots = daemon.directory.get(server).map_or(1, |entry| entry.slots);
+    if home::carries(daemon, server) {
+        return slots.max(1);
+    }
     (slots * OPENING_PER_SLOT / daemon.members.len().max(1)).clamp(1, MOST_OPENING)
 }
 
@@ -276,6 +322,10 @@
     let Some(pool) = daemon.pools.get(server) else {
         return Duration::ZERO;
     };
+    let lanes = most_running(daemon, server);
+    if lanes < usize::MAX && (pool.waiting.len() > lanes || running(daemon, server) >= lanes) {
+        return queue::expected_wait(pool.waiting.len(), pool.latency, lanes);
+    }
     if is_warm(daemon, pool, workspace) {
         return Duration::ZERO;
     }
--- a/crates/gcl-direct/src/queue.rs
+++ b/crates/gcl-direct/src/queue.rs
@@ -30,6 +30,13 @@
     (now >= waiter.target, waiter.priority, held, waiter.arrived)
 }
 
+/// Statements that a home sends to a server at the same time. A few more than it has slots keep these
+/// busy; all others wait here, where they are ordered, and not at the server, where they are not.
+#[must_use]
+pub const fn depth(slots: usize) -> usize {
+    slots + slots.div_ceil(2)
+}
+
 /// How long a statement that comes now is expected to wait; one whose time is shorter is refused at
 /// once.
 ///
--- a/crates/gcl-direct/src/reduce.rs
+++ b/crates/gcl-direct/src/reduce.rs
@@ -6,14 +6,16 @@
     drain,
     effect::{Effect, Effects},
     event::Event,
-    failover, follow, gossip,
+    failover, feed, follow, gossip, guest, home,
     line::Line,
-    member, pool, request, right, session,
+    link::{self, Ask},
+    member, news, pool, request, right, role, session,
     settings::Settings,
     state::State,
     timer,
 };
 use gcl_core::{batch::Status, id, time::Now};
+use std::time::Duration;
 
 /// Takes one event and gives what is to be done about it, in order.
 pub fn reduce(state: &mut State, now: Now, event: Event) -> Vec<Effect> {
@@ -21,9 +23,7 @@
     match event {
         Event::Started => {
             fx.log(Line::belief("started").with("incarnation", state.incarnation));
-            follow::start(&mut fx);
-            member::start(state, now, &mut fx);
-            gossip::start(state, now);
+            role::start(state, now, &mut fx);
         }
         Event::Caller(session, event) => session::on_event(state, now, &mut fx, session, event),
         Event::Backend(connection, event) => on_backend(state, now, &mut fx, connection, event),
@@ -32,6 +32,7 @@
             failover::on_promoted(state, now, &mut fx, &database, result);
         }
         Event::Peer(digest) => gossip::on_digest(state, now, &mut fx, &digest),
+        Event::Link(event) => on_link(state, now, &mut fx, event),
         Event::Settings { settings, kept } => on_settings(state, &mut fx, *settings, kept),
         Event::Wake => {}
         Event::Stop => drain::start(state, now, &mut fx),
@@ -61,6 +62,7 @@
     if ready != state.ready {
         state.ready = ready;
         let left = right::until(state).saturating_sub(now.mono);
+        home::refresh(state, now);
         fx.log(Line::belief("readiness changed").with("ready", ready).millis("lease_left", left));
         fx.push(Effect::Ready(ready));
         if !ready && state.drain == drain::State::Serving {
@@ -80,11 +82,36 @@
         timer::Key::Store(topic) => follow::on_timer(state, fx, topic),
         timer::Key::Missing => follow::on_missing(state, now, fx),
         timer::Key::Failover(database) => failover::review(state, now, fx, &database),
+        timer::Key::Role => role::on_timer(state, fx),
+        timer::Key::News => news::on_timer(state, now, fx),
+        timer::Key::Link(host) => link::on_timer(state, now, fx, &host),
+        timer::Key::Feed(database) => feed::on_timer(state, now, fx, &database),
         timer::Key::Drain => drain::on_timer(state, now, fx),
         timer::Key::Grace => drain::end(state, fx),
     }
 }
 
+fn on_link(state: &mut State, now: Now, fx: &mut Effects, event: link::Event) {
+    match event {
+        link::Event::Told(host, tell) => link::on_told(state, now, fx, &host, tell),
+        link::Event::Down { host, opened } => link::on_down(state, now, fx, &host, opened),
+        link::Event::Left(link) => guest::on_left(state, now, fx, link),
+        link::Event::Asked(link, ask) => match ask {
+            Ask::Ping => fx.link(link::Call::Tell(link, link::Tell::Pong)),
+            Ask::Run(run) => {
+                guest::on_run(state, now, fx, link, *run);
+                home::on_visit(state, now);
+            }
+            Ask::Forget(session) => guest::on_forget(state, now, fx, link, session),
+            Ask::News(known) => news::on_asked(state, now, fx, link, known),
+            Ask::Config(version) => news::on_config_asked(state, fx, link, version),
+            Ask::Position(database, asked) => {
+                feed::on_asked(state, now, fx, link, database, asked);
+            }
+        },
+    }
+}
+
 fn on_backend(
     state: &mut State,
     now: Now,
@@ -142,8 +169,24 @@
         }
     }
     if step == Step::Report {
-        failover::on_report(state, now, &server);
+        failover::on_report(state, now, &server, sent);
+    }
+    settle(state, now, fx, (connection, sent), (step, session), answer);
+    if home::carries(state, &server) {
+        // What waits may be sent as soon as the server has answered something.
+        pool::pump(state, now, fx, &server);
     }
+}
+
+/// Takes an answer to the session that its connection works for.
+fn settle(
+    state: &mut State,
+    now: Now,
+    fx: &mut Effects,
+    (connection, sent): (id::Connection, Duration),
+    (step, session): (Step, Option<id::Session>),
+    answer: Answer,
+) {
     match (step, session) {
         (Step::Statement, Some(session)) => {
             request::on_answer(state, now, fx, session, (connection, sent), answer);
--- a/crates/gcl-direct/src/request/attempt.rs
+++ b/crates/gcl-direct/src/request/attempt.rs
@@ -1,19 +1,21 @@
 //! The tries of a statement: what it needs of a server, which one it goes to, and when it is tried
 //! again.
 
-use super::{BUSY_RETRY, Stage, refuse};
+use super::{BUSY_RETRY, RETRY_WAIT, Stage, count, refuse};
 use crate::{
     directory,
     effect::Effects,
-    lease,
+    failover, feed,
+    forward::{self, Choice},
+    home, lease,
     line::Line,
     place::{self, Candidate, Need},
     pool,
     queue::Waiter,
     right,
+    role::Role,
     session::Transaction,
     state::State as Daemon,
-    statement::Access,
     timer,
 };
 use gcl_core::{
@@ -22,58 +24,130 @@
     mark::Mark,
     time::Now,
 };
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 /// Tries of one statement, the first included.
 const MOST_TRIES: u32 = 6;
 /// Time before a statement is tried again where nothing else has changed.
 const RETRY: Duration = Duration::from_millis(40);
+/// A log position that no server has reached, for a read while none is known that is recent enough.
+const UNKNOWN: Mark = Mark::new(id::Term::MAX, id::Position::MAX);
 /// Time before a statement looks for a primary again, unless one appears before that.
 const PRIMARY_RETRY: Duration = Duration::from_millis(250);
-/// How long a statement that a server could not run may wait for another one, at least.
-const RETRY_WAIT: Duration = Duration::from_millis(150);
 
 /// What a statement that has no connection needs of a server: the server, and the position.
-fn needs(daemon: &Daemon, session: id::Session) -> Option<(Need, Option<Mark>)> {
+fn needs(daemon: &mut Daemon, now: Now, session: id::Session) -> Option<(Need, Option<Mark>)> {
     let entry = daemon.sessions.get(&session)?;
     let request = entry.request.as_ref()?;
-    let (writes, began) = match &entry.transaction {
-        Transaction::Open(open) => (!open.read_only, open.began),
-        _ => (request.access == Access::Write, request.arrived),
+    let began = match &entry.transaction {
+        Transaction::Open(open) => open.began,
+        _ => request.arrived,
     };
-    let Some(age) = request.route.freshness.max_age().filter(|_| !writes) else {
+    let age = request.route.freshness.max_age().filter(|_| !entry.writes(request));
+    let Some(age) = age else {
         return Some((Need::Primary, None));
     };
     let group = daemon.groups.get(&request.route.database);
+    let database = request.route.database.clone();
     let seen = group.and_then(|group| group.history.covering(began.saturating_sub(age)));
+    let floor = entry.floors.get(&request.route.database).copied();
+    let far = home::in_use(daemon) && {
+        let primary = home::site(daemon, &database).primary;
+        primary.is_some_and(|domain| daemon.settings.distance(&domain) > 1)
+    };
+    if far {
+        feed::want(daemon, now, &database);
+    }
     Some(match seen {
-        Some(seen) => {
-            let floor = entry.floors.get(&request.route.database).copied();
-            (Need::Recent, Some(floor.map_or(seen, |floor| floor.max(seen))))
-        }
+        Some(seen) => (Need::Recent, Some(floor.map_or(seen, |floor| floor.max(seen)))),
+        None if far => (Need::Recent, Some(UNKNOWN)),
         None => (Need::Primary, None),
     })
 }
 
 /// Looks for a server for a statement and queues it there.
 pub fn attempt(daemon: &mut Daemon, now: Now, fx: &mut Effects, session: id::Session) {
-    let Some((need, after)) = needs(daemon, session) else {
+    let Some(request) = super::of(daemon, session) else {
         return;
     };
-    let Some(request) = daemon.sessions.get_mut(&session).and_then(|entry| entry.request.as_mut())
-    else {
-        return;
-    };
-    (request.need, request.after) = (need, after);
     request.stage = Stage::Waiting;
     request.tries += 1;
     if request.tries > MOST_TRIES {
         let fault = Fault::new(Code::ServerLost, "no server could run the statement");
         return refuse(daemon, now, fx, session, fault.retry_after(BUSY_RETRY));
     }
+    match forward::choose(daemon, now, session) {
+        Choice::Here => {}
+        Choice::Host(host) => {
+            return forward::send(daemon, now, fx, session, &host);
+        }
+        Choice::Nobody => {
+            return wait_or_refuse(daemon, now, fx, session, forward::nobody());
+        }
+    }
+    if let Err(fault) = admit(daemon, now, session) {
+        return refuse(daemon, now, fx, session, fault);
+    }
+    attempt_here(daemon, now, fx, session);
+}
+
+/// Counts the operation of a statement in its workspace's rate, unless it is already.
+fn admit(daemon: &mut Daemon, now: Now, session: id::Session) -> Result<()> {
+    let Some(entry) = daemon.sessions.get_mut(&session) else {
+        return Ok(());
+    };
+    let Some(request) = entry.request.as_mut().filter(|request| !request.admitted) else {
+        return Ok(());
+    };
+    request.admitted = true;
+    if let Transaction::Open(open) = &mut entry.transaction {
+        open.admitted = true;
+    }
+    let (workspace, route) = (entry.workspace.clone(), Arc::clone(&request.route));
+    count(daemon, now, &workspace, &route)
+}
+
+/// Looks for a server that this daemon sends a statement to itself.
+fn attempt_here(daemon: &mut Daemon, now: Now, fx: &mut Effects, session: id::Session) {
+    let Some((need, after)) = needs(daemon, now, session) else {
+        return;
+    };
+    let Some(request) = daemon.sessions.get_mut(&session).and_then(|entry| entry.request.as_mut())
+    else {
+        return;
+    };
+    (request.need, request.after) = (need, after);
+    let unknown = after == Some(UNKNOWN);
+    if unknown {
+        let fault = Fault::new(Code::NoReplica, "no recent position of the primary is known");
+        return elsewhere(daemon, now, fx, session, fault.retry_after(BUSY_RETRY));
+    }
     match choose(daemon, now, session, need) {
         Ok(server) => queue_at(daemon, now, fx, session, &server),
-        Err(fault) => wait_or_refuse(daemon, now, fx, session, fault),
+        Err(fault) => elsewhere(daemon, now, fx, session, fault),
+    }
+}
+
+/// Leaves a statement that this daemon cannot send to a server to another host where one may, and
+/// has it wait otherwise. An entry that sent it is told at once, and asks the other host itself.
+fn elsewhere(daemon: &mut Daemon, now: Now, fx: &mut Effects, session: id::Session, fault: Fault) {
+    let Some(entry) = daemon.sessions.get_mut(&session) else {
+        return;
+    };
+    let reads = entry.request.as_ref().is_some_and(|request| request.need == Need::Recent);
+    let guest = entry.guest.is_some();
+    let may_pass = home::in_use(daemon)
+        && (reads || fault.code == Code::ServerLost || !right::holds(daemon, now));
+    if may_pass && guest {
+        return refuse(daemon, now, fx, session, fault);
+    }
+    let own = daemon.settings.daemon.clone();
+    match super::of(daemon, session) {
+        Some(request) if may_pass && !request.passed.contains(&own) => {
+            request.passed.push(own);
+            attempt(daemon, now, fx, session);
+        }
+        _ => wait_or_refuse(daemon, now, fx, session, fault),
     }
 }
 
@@ -88,7 +162,7 @@
         _ => right::primary(daemon, now, database),
     };
     if need == Need::Primary {
-        return primary;
+        return primary.and_then(|server| reached(daemon, now, server));
     }
     let leader = primary.ok();
     let mut candidates = Vec::new();
@@ -97,7 +171,9 @@
         let failed = pool.is_some_and(|pool| now.mono < pool.failed_until.max(pool.busy_until));
         let leads = leader.as_ref() == Some(server);
         let behind = !leads && pool.is_some_and(|pool| now.mono < pool.behind_until);
-        if known.draining || failed || behind || request.avoided.contains(server) {
+        // What another region's home can serve is left to it.
+        let far = home::in_use(daemon) && daemon.settings.distance(&known.domain) > 1;
+        if far || known.draining || failed || behind || request.avoided.contains(server) {
             continue;
         }
         candidates.push(Candidate {
@@ -112,6 +188,16 @@
     place::choose(need, &candidates).cloned().ok_or_else(none)
 }
 
+/// A primary that this daemon reaches. Where there are homes, another one may where this one does not.
+fn reached(daemon: &Daemon, now: Now, server: id::Server) -> Result<id::Server> {
+    let health = daemon.pools.get(&server).map(|pool| pool.health).unwrap_or_default();
+    if home::in_use(daemon) && failover::is_failing(health, now.mono) {
+        let fault = Fault::new(Code::ServerLost, "the primary does not answer");
+        return Err(fault.retry_after(BUSY_RETRY));
+    }
+    Ok(server)
+}
+
 fn queue_at(
     daemon: &mut Daemon,
     now: Now,
@@ -154,7 +240,10 @@
     session: id::Session,
     fault: Fault,
 ) {
-    let hopeless = !right::holds(daemon, now) && daemon.lease.stage == lease::Stage::Held;
+    let hopeless = match daemon.role.current {
+        Role::Entry => !daemon.news.is_fresh(now),
+        _ => !right::holds(daemon, now) && daemon.lease.stage == lease::Stage::Held,
+    };
     let request = daemon.sessions.get_mut(&session).and_then(|entry| entry.request.as_mut());
     let Some(request) = request else {
         return;
@@ -165,6 +254,7 @@
     // The wait for a primary is no try of a server.
     request.tries -= 1;
     request.avoided.clear();
+    request.passed.clear();
     daemon.timers.arm(timer::Key::Retry(session), now.mono + PRIMARY_RETRY);
 }
 
--- a/crates/gcl-direct/src/request/mod.rs
+++ b/crates/gcl-direct/src/request/mod.rs
@@ -19,7 +19,7 @@
     caller::Reply,
     config::Route,
     effect::Effects,
-    gossip, limit,
+    forward, gossip, home, limit,
     line::Line,
     place::Need,
     pool,
@@ -41,9 +41,11 @@
 const WAIT_PERCENT: u32 = 45;
 /// When to come back after a refusal for lack of slots.
 const BUSY_RETRY: Duration = Duration::from_millis(250);
+/// How long a statement that a server could not run may wait for another one, at least.
+const RETRY_WAIT: Duration = Duration::from_millis(150);
 
 /// The outcome of a statement that a server ran.
-const SERVED: &str = "served";
+pub const SERVED: &str = "served";
 
 /// Where a statement stands.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -56,6 +58,38 @@
     Preparing(id::Connection),
     /// It was sent.
     Sent(id::Connection),
+    /// A host has it, under this serial number.
+    Away(id::Daemon, u64),
+}
+
+/// The terms on which an operation may run.
+#[derive(Clone, Debug)]
+pub struct Admission {
+    /// Its route.
+    pub route: Arc<Route>,
+    /// Whether it was counted in its workspace's rate.
+    pub admitted: bool,
+    /// What is left of the statement's time, where that is less than the route's.
+    pub left: Option<Duration>,
+}
+
+impl Admission {
+    /// To a route.
+    #[must_use]
+    pub fn to(route: &Arc<Route>, admitted: bool) -> Self {
+        Self { route: Arc::clone(route), admitted, left: None }
+    }
+}
+
+/// A statement to run.
+#[derive(Clone, Debug)]
+pub struct Order {
+    /// The statement.
+    pub query: Query,
+    /// What it does.
+    pub access: Access,
+    /// On which terms.
+    pub admission: Admission,
 }
 
 /// A statement under way.
@@ -79,6 +113,10 @@
     pub tries: u32,
     /// Servers that could not serve it.
     pub avoided: Vec<id::Server>,
+    /// Hosts that could not serve it.
+    pub passed: Vec<id::Daemon>,
+    /// Whether it was counted in its workspace's rate.
+    pub admitted: bool,
     /// What the server must have.
     pub need: Need,
     /// The log position that the server must have reached.
@@ -95,7 +133,7 @@
     fx: &mut Effects,
     session: id::Session,
     request: &str,
-) -> Result<Arc<Route>> {
+) -> Result<Admission> {
     let outcome = check(daemon, now, session);
     if let Err(fault) = &outcome {
         fx.count("gcl_refused", fault.code.text().trim());
@@ -110,18 +148,29 @@
     outcome
 }
 
-fn check(daemon: &mut Daemon, now: Now, session: id::Session) -> Result<Arc<Route>> {
+/// Where statements go to homes, the home counts them in the workspace's rate.
+fn check(daemon: &mut Daemon, now: Now, session: id::Session) -> Result<Admission> {
     let gone = || Fault::new(Code::Protocol, "the session has ended");
     let entry = daemon.sessions.get(&session).ok_or_else(gone)?;
     let config = daemon.config.as_ref();
     let route = config.and_then(|config| config.routes.get(&entry.service)).cloned();
     let route = route.ok_or_else(|| Fault::new(Code::UnknownService, "the route was removed"))?;
-    let workspace = config.and_then(|config| config.workspaces.get(&entry.workspace));
+    let admitted = !home::in_use(daemon);
+    if admitted {
+        let workspace = entry.workspace.clone();
+        count(daemon, now, &workspace, &route)?;
+    }
+    Ok(Admission { route, admitted, left: None })
+}
+
+/// Counts an operation in its workspace's rate.
+fn count(daemon: &mut Daemon, now: Now, name: &id::Workspace, route: &Route) -> Result<()> {
+    let workspace = daemon.config.as_ref().and_then(|config| config.workspaces.get(name));
     if let (false, Some(workspace)) = (route.public, workspace) {
-        let spread = gossip::spread(daemon, now, &entry.workspace);
+        let spread = gossip::spread(daemon, now, name);
         let bounds = &daemon.settings.bounds;
         let whole = limit::whole(*workspace, bounds);
-        let (taken, tell) = daemon.limit.take(now.mono, bounds, &entry.workspace, whole, spread);
+        let (taken, tell) = daemon.limit.take(now.mono, bounds, name, whole, spread);
         if tell {
             gossip::hurry(daemon, now);
         }
@@ -130,27 +179,21 @@
             return Err(fault.retry_after(wait));
         }
     }
-    Ok(route)
+    Ok(())
 }
 
 /// Starts a statement.
-pub fn start(
-    daemon: &mut Daemon,
-    now: Now,
-    fx: &mut Effects,
-    session: id::Session,
-    query: Query,
-    route: Arc<Route>,
-    access: Access,
-) {
+pub fn start(daemon: &mut Daemon, now: Now, fx: &mut Effects, session: id::Session, order: Order) {
+    let Order { query, access, admission: Admission { route, admitted, left } } = order;
     let Some(entry) = daemon.sessions.get_mut(&session) else {
         return;
     };
-    let deadline = now.mono + route.timeout;
-    let wait_until = now.mono + route.timeout * WAIT_PERCENT / 100;
-    let connection = match &entry.transaction {
-        Transaction::Open(open) => open.connection,
-        _ => None,
+    let time = left.map_or(route.timeout, |left| left.min(route.timeout));
+    let deadline = now.mono + time;
+    let wait_until = now.mono + time * WAIT_PERCENT / 100;
+    let (connection, host) = match &entry.transaction {
+        Transaction::Open(open) => (open.connection, open.host.clone()),
+        _ => (None, None),
     };
     let stage = connection.map_or(Stage::Waiting, Stage::Preparing);
     entry.request = Some(Request {
@@ -163,16 +206,41 @@
         stage,
         tries: 0,
         avoided: Vec::new(),
+        passed: Vec::new(),
+        admitted,
         need: Need::Primary,
         after: None,
     });
     daemon.timers.arm(timer::Key::Deadline(session), wait_until);
-    match connection {
-        Some(connection) => drive(daemon, now, fx, session, connection),
-        None => attempt(daemon, now, fx, session),
+    match (connection, host) {
+        (Some(connection), _) => drive(daemon, now, fx, session, connection),
+        (None, Some(host)) => forward::send(daemon, now, fx, session, &host),
+        (None, None) => attempt(daemon, now, fx, session),
     }
 }
 
+/// The statement of a session.
+pub fn of(daemon: &mut Daemon, session: id::Session) -> Option<&mut Request> {
+    daemon.sessions.get_mut(&session)?.request.as_mut()
+}
+
+/// Gives a statement that a host has until `due`.
+pub fn await_answer(daemon: &mut Daemon, session: id::Session, due: Duration) {
+    daemon.timers.arm(timer::Key::Deadline(session), due);
+}
+
+/// Tries a statement again that no host has run.
+pub fn again(daemon: &mut Daemon, now: Now, fx: &mut Effects, session: id::Session) {
+    let Some(request) = of(daemon, session) else {
+        return;
+    };
+    request.stage = Stage::Waiting;
+    request.wait_until = request.wait_until.max(now.mono + RETRY_WAIT).min(request.deadline);
+    let until = request.wait_until;
+    daemon.timers.arm(timer::Key::Deadline(session), until);
+    attempt(daemon, now, fx, session);
+}
+
 /// Ends a statement whose time is over.
 pub fn on_deadline(daemon: &mut Daemon, now: Now, fx: &mut Effects, session: id::Session) {
     let request = daemon.sessions.get(&session).and_then(|entry| entry.request.as_ref());
@@ -190,6 +258,7 @@
             }
             on_timeout(daemon, now, fx, session, connection);
         }
+        Stage::Away(host, _) => forward::on_overdue(daemon, now, fx, session, &host),
         stage => {
             let fault = match stage {
                 Stage::Queued(_) => Fault::new(Code::QueueFull, "no connection became free"),
@@ -262,11 +331,12 @@
         Stage::Preparing(connection) | Stage::Sent(connection) => {
             pool::release(daemon, now, fx, *connection);
         }
+        Stage::Away(host, _) => forward::forget(daemon, fx, session, host),
     }
 }
 
 /// Ends a statement and reports how.
-fn finish(
+pub fn finish(
     daemon: &mut Daemon,
     now: Now,
     fx: &mut Effects,
--- a/crates/gcl-direct/src/session.rs
+++ b/crates/gcl-direct/src/session.rs
@@ -10,10 +10,11 @@
     connection::Values,
     drain,
     effect::Effects,
-    gossip,
+    forward, gossip,
+    guest::{self, Guest},
     line::Line,
     pool,
-    request::{self, Request},
+    request::{self, Admission, Order, Request},
     right,
     state::State as Daemon,
     statement::{Access, Prepared, Query, Statement},
@@ -38,6 +39,7 @@
 const DRAINING_RETRY: Duration = Duration::from_millis(100);
 
 /// An open transaction.
+#[expect(clippy::struct_excessive_bools, reason = "each is a fact of its own")]
 #[derive(Clone, Debug)]
 pub struct Open {
     /// Whether it only reads.
@@ -52,6 +54,27 @@
     pub wrote: bool,
     /// Whether its connection was chosen as the primary.
     pub on_primary: bool,
+    /// The host that it runs at, once that has run something.
+    pub host: Option<id::Daemon>,
+    /// Whether it was counted in its workspace's rate.
+    pub admitted: bool,
+}
+
+impl Open {
+    /// A transaction that has run nothing yet.
+    #[must_use]
+    pub const fn new(read_only: bool, route: Arc<Route>, began: Duration, admitted: bool) -> Self {
+        Self {
+            read_only,
+            route,
+            began,
+            connection: None,
+            wrote: false,
+            on_primary: false,
+            host: None,
+            admitted,
+        }
+    }
 }
 
 /// The state of a session's transaction.
@@ -103,6 +126,10 @@
     pub ahead: VecDeque<Query>,
     /// The last log position that a server reported.
     pub mark: Option<Mark>,
+    /// For another daemon's caller, whose statement it runs.
+    pub guest: Option<Guest>,
+    /// The route of such an operation.
+    pub guest_route: Option<Arc<Route>>,
 }
 
 impl Session {
@@ -114,6 +141,15 @@
             && matches!(self.transaction, Transaction::None)
     }
 
+    /// Whether a statement runs where its transaction may write, or writes itself.
+    #[must_use]
+    pub fn writes(&self, request: &Request) -> bool {
+        match &self.transaction {
+            Transaction::Open(open) => !open.read_only,
+            _ => request.access == Access::Write,
+        }
+    }
+
     fn ready(&self) -> Reply {
         Reply::Ready(self.transaction.status(), self.mark)
     }
@@ -205,15 +241,33 @@
         return;
     };
     daemon.timers.cancel(&timer::Key::Idle(session));
+    if let Some(guest) = entry.guest {
+        guest::on_forgotten(daemon, guest);
+    }
     if let Some(request) = entry.request.take() {
         request::abandon(daemon, now, fx, session, &request);
     }
-    if let Transaction::Open(open) = entry.transaction
-        && let Some(connection) = open.connection
-    {
+    leave(daemon, now, fx, session, entry.transaction);
+    drain::on_progress(daemon, now, fx);
+}
+
+/// Gives back what a transaction holds.
+fn leave(
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    session: id::Session,
+    transaction: Transaction,
+) {
+    let Transaction::Open(open) = transaction else {
+        return;
+    };
+    if let Some(connection) = open.connection {
         pool::release(daemon, now, fx, connection);
     }
-    drain::on_progress(daemon, now, fx);
+    if let Some(host) = open.host {
+        forward::forget(daemon, fx, session, &host);
+    }
 }
 
 fn on_query(daemon: &mut Daemon, now: Now, fx: &mut Effects, session: id::Session, query: Query) {
@@ -239,6 +293,7 @@
     };
     if let Err(fault) = admit_key(daemon.config.as_deref(), &entry.service, &entry.key)
         && fault.code == Code::WrongKey
+        && entry.guest.is_none()
     {
         return end_withdrawn(daemon, now, fx, session, Some(&query));
     }
@@ -303,7 +358,7 @@
         Statement::Begin { read_only } => {
             let read_only = *read_only;
             match request::admit(daemon, now, fx, session, &query.id) {
-                Ok(route) => begin(daemon, now, fx, session, read_only, route),
+                Ok(admitted) => begin(daemon, now, fx, session, read_only, admitted),
                 Err(fault) => answer(daemon, now, fx, session, vec![Reply::Error(fault)]),
             }
         }
@@ -313,7 +368,7 @@
         }
         Statement::Data(_) | Statement::Execute { .. } => {
             match request::admit(daemon, now, fx, session, &query.id) {
-                Ok(route) => run(daemon, now, fx, session, query, route),
+                Ok(admitted) => run(daemon, now, fx, session, query, admitted),
                 Err(fault) => answer(daemon, now, fx, session, vec![Reply::Error(fault)]),
             }
         }
@@ -327,17 +382,12 @@
     fx: &mut Effects,
     session: id::Session,
     read_only: bool,
-    route: Arc<Route>,
+    admission: Admission,
 ) {
+    let Admission { route, admitted, .. } = admission;
     if let Some(entry) = daemon.sessions.get_mut(&session) {
-        entry.transaction = Transaction::Open(Box::new(Open {
-            read_only,
-            route,
-            began: now.mono,
-            connection: None,
-            wrote: false,
-            on_primary: false,
-        }));
+        let open = Open::new(read_only, route, now.mono, admitted);
+        entry.transaction = Transaction::Open(Box::new(open));
     }
     answer(daemon, now, fx, session, vec![Reply::Complete(None)]);
 }
@@ -357,8 +407,8 @@
             let Some(Transaction::Open(open)) = entry.map(|entry| &entry.transaction) else {
                 return;
             };
-            let route = Arc::clone(&open.route);
-            run(daemon, now, fx, session, query, route);
+            let admission = Admission::to(&open.route, open.admitted);
+            run(daemon, now, fx, session, query, admission);
         }
         _ => local(daemon, now, fx, session, query.statement),
     }
@@ -376,11 +426,7 @@
         return;
     };
     let ended = std::mem::replace(&mut entry.transaction, next);
-    if let Transaction::Open(open) = ended
-        && let Some(connection) = open.connection
-    {
-        pool::release(daemon, now, fx, connection);
-    }
+    leave(daemon, now, fx, session, ended);
 }
 
 /// Answers a statement that concerns the session alone.
@@ -424,7 +470,7 @@
     fx: &mut Effects,
     session: id::Session,
     query: Query,
-    route: Arc<Route>,
+    admission: Admission,
 ) {
     let Some(entry) = daemon.sessions.get(&session) else {
         return;
@@ -438,11 +484,39 @@
         _ => Ok(Access::Read),
     };
     match access {
-        Ok(access) => request::start(daemon, now, fx, session, query, route, access),
+        Ok(access) => {
+            request::start(daemon, now, fx, session, Order { query, access, admission });
+        }
         Err(fault) => answer(daemon, now, fx, session, vec![Reply::Error(fault)]),
     }
 }
 
+/// Runs a statement of another daemon's caller, in the `left` of its time.
+pub fn run_guest(
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    session: id::Session,
+    query: Query,
+    left: Duration,
+) {
+    daemon.timers.cancel(&timer::Key::Idle(session));
+    let Some(entry) = daemon.sessions.get(&session) else {
+        return;
+    };
+    let admission = match &entry.transaction {
+        Transaction::Lost | Transaction::Failed => {
+            return on_failed(daemon, now, fx, session, &query);
+        }
+        Transaction::Open(open) => Admission::to(&open.route, open.admitted),
+        Transaction::None => match &entry.guest_route {
+            Some(route) => Admission::to(route, false),
+            None => return,
+        },
+    };
+    run(daemon, now, fx, session, query, Admission { left: Some(left), ..admission });
+}
+
 /// Answers a statement, and goes on with the next one that waits.
 pub fn answer(
     daemon: &mut Daemon,
@@ -455,6 +529,9 @@
     let Some(entry) = daemon.sessions.get_mut(&session) else {
         return;
     };
+    if let Some(guest) = entry.guest {
+        return guest::answer(daemon, now, fx, session, guest, replies);
+    }
     replies.push(entry.ready());
     fx.reply(session, replies);
     if let Some(query) = entry.ahead.pop_front() {
@@ -471,7 +548,7 @@
 
 /// Closes a session that has nothing under way, so that its caller connects to another daemon.
 pub fn release_idle(daemon: &mut Daemon, now: Now, fx: &mut Effects, session: id::Session) {
-    if daemon.sessions.get(&session).is_some_and(Session::is_idle) {
+    if daemon.sessions.get(&session).is_some_and(|it| it.is_idle() && it.guest.is_none()) {
         fx.hang_up(session);
         forget(daemon, now, fx, session);
     }
@@ -520,7 +597,9 @@
     let config = daemon.config.clone();
     let withdrawn = daemon.sessions.iter().filter(|(_, entry)| {
         let admitted = admit_key(config.as_deref(), &entry.service, &entry.key);
-        entry.is_idle() && admitted.is_err_and(|fault| fault.code == Code::WrongKey)
+        entry.is_idle()
+            && entry.guest.is_none()
+            && admitted.is_err_and(|fault| fault.code == Code::WrongKey)
     });
     let withdrawn: Vec<_> = withdrawn.map(|(name, _)| *name).collect();
     for session in withdrawn {
--- a/crates/gcl-direct/src/settings.rs
+++ b/crates/gcl-direct/src/settings.rs
@@ -31,6 +31,10 @@
     pub regions: IndexMap<id::Domain, id::Region>,
     /// Where it hears other daemons, `ip:port`.
     pub peer_address: CompactString,
+    /// What its VM can carry, in thousandths of a core.
+    pub millicores: u32,
+    /// Whether the whole system starts for the first time.
+    pub bootstrap: bool,
     /// Bounds of the deployment.
     pub bounds: Bounds,
 }
@@ -53,6 +57,7 @@
             ("daemon", self.daemon == new.daemon),
             ("domain", self.domain == new.domain),
             ("peer address", self.peer_address == new.peer_address),
+            ("millicores", self.millicores == new.millicores),
         ] {
             if !same {
                 outcome.kept.push(name);
@@ -69,6 +74,12 @@
         outcome
     }
 
+    /// The region of a failure domain, if it is known.
+    #[must_use]
+    pub fn region(&self, domain: &str) -> Option<&id::Region> {
+        self.regions.get(domain)
+    }
+
     /// How far a failure domain is: zero for the daemon's own, one for its region, two beyond.
     #[must_use]
     pub fn distance(&self, domain: &str) -> u8 {
--- a/crates/gcl-direct/src/state.rs
+++ b/crates/gcl-direct/src/state.rs
@@ -1,8 +1,9 @@
 //! Everything that one daemon knows.
 
 use crate::{
-    config::Config, connection::Connection, directory::Directory, drain, failover, follow, gossip,
-    group::Group, lease, limit, pool::Pool, session::Session, settings::Settings, timer,
+    config::Config, connection::Connection, directory::Directory, drain, failover, feed, follow,
+    gossip, group::Group, guest, home, lease, limit, link, news, pool::Pool, role,
+    session::Session, settings::Settings, timer,
 };
 use gcl_core::{id, random::Random};
 use indexmap::IndexMap;
@@ -32,11 +33,23 @@
     pub last_id: u64,
     /// Armed timers.
     pub timers: timer::Service,
+    /// Whether this daemon is a host.
+    pub role: role::State,
+    /// What an entry has learnt from hosts.
+    pub news: news::State,
+    /// The ways to hosts.
+    pub link: link::State,
+    /// What this daemon carries as a home.
+    pub home: home::State,
+    /// Other daemons' callers whose statements this one runs.
+    pub guests: guest::Guests,
+    /// Databases whose primary's position is asked for at another host.
+    pub feed: feed::State,
     /// The configuration in force.
     pub config: Option<Arc<Config>>,
     /// Backend servers.
     pub directory: Directory,
-    /// Daemons that the store lists.
+    /// Hosts, as the store lists them or, to an entry, a host tells.
     pub members: IndexMap<id::Daemon, Member>,
     /// How the store is followed.
     pub follow: follow::State,
@@ -74,6 +87,12 @@
             random,
             last_id: 0,
             timers: timer::Service::default(),
+            role: role::State::default(),
+            news: news::State::default(),
+            link: link::State::default(),
+            home: home::State::default(),
+            guests: guest::Guests::new(),
+            feed: feed::State::new(),
             config: None,
             directory: Directory::default(),
             members: IndexMap::new(),
--- a/crates/gcl-direct/src/statement.rs
+++ b/crates/gcl-direct/src/statement.rs
@@ -1,9 +1,10 @@
 //! Statements of callers, already classified by the protocol that they arrived in.
 
 use compact_str::CompactString;
+use serde::{Deserialize, Serialize};
 
 /// What a statement does to the data.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Access {
     /// Reads.
     Read,
@@ -12,7 +13,7 @@
 }
 
 /// A prepared statement, independent of the name that a session gave it.
-#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Prepared {
     /// What it does.
     pub access: Access,
@@ -21,7 +22,7 @@
 }
 
 /// A caller's statement.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Statement {
     /// Opens a transaction.
     Begin {
@@ -65,7 +66,7 @@
 }
 
 /// A statement as a caller sent it.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Query {
     /// The caller's id of it.
     pub id: CompactString,
--- a/crates/gcl-direct/src/timer.rs
+++ b/crates/gcl-direct/src/timer.rs
@@ -29,6 +29,14 @@
     Missing,
     /// A database's primary is looked at again.
     Failover(id::Database),
+    /// A vacancy among the hosts is filled.
+    Role,
+    /// A host is asked what has changed.
+    News,
+    /// A host that has something to answer is looked at.
+    Link(id::Daemon),
+    /// Another host is asked for the position of a database's primary.
+    Feed(id::Database),
     /// The drain goes on.
     Drain,
     /// The grace of the drain is over.
@@ -57,6 +65,12 @@
         }
     }
 
+    /// Whether `key` is armed.
+    #[must_use]
+    pub fn is_armed(&self, key: &Key) -> bool {
+        self.armed.contains_key(key)
+    }
+
     /// Forgets `key`.
     pub fn cancel(&mut self, key: &Key) {
         if let Some(at) = self.armed.swap_remove(key) {
--- a/crates/gcl-direct/tests/direct/gossip.rs
+++ b/crates/gcl-direct/tests/direct/gossip.rs
@@ -68,6 +68,7 @@
 #[test]
 fn the_store_is_called_little_at_rest() {
     let mut world = World::new(5);
+    world.run(3000);
     world.calls.clear();
     world.run(20_000);
     let priced: usize =
@@ -82,6 +83,7 @@
     let mut world = World::new(2);
     world.kill(1);
     world.boot(1);
+    world.run(2);
     world.outage(Some(1), true);
     world.run(2500);
     assert_ne!(world.nodes[1].state.lease.lease, 0, "the lease was granted before the outage");
@@ -94,7 +96,7 @@
 #[test]
 fn a_large_fleet_shares_out_a_rate_by_the_sums_of_its_cells() {
     const FLEET: usize = 80;
-    let mut world = World::new(FLEET);
+    let mut world = World::spread(FLEET, 27);
     world.run(6_000);
     for daemon in [0, 1, 40, FLEET - 1] {
         let spread = gossip::spread(&world.nodes[daemon].state, world.now(daemon), &"altyn".into());
@@ -112,7 +114,7 @@
 #[test]
 fn a_large_fleet_tells_no_more_for_each_daemon() {
     const FLEET: usize = 100;
-    let mut world = World::new(FLEET);
+    let mut world = World::spread(FLEET, 34);
     world.run(3_000);
     let (told, renewals) = (world.told, world.calls["renew"]);
     world.run(7_000);
--- /dev/null
+++ b/crates/gcl-direct/tests/direct/home.rs
@@ -0,0 +1,282 @@
+//! Statements that other daemons run.
+
+use super::world::{DATABASE, World};
+use gcl_core::{code::Code, id};
+use gcl_direct::{
+    home::{self, Candidate},
+    role::{HOSTS, Role},
+};
+
+/// Daemons in three failure domains, most of them entries.
+const FLEET: usize = 30;
+
+/// A fleet whose daemons know each other.
+fn fleet() -> World {
+    let mut world = World::new(FLEET);
+    world.run(3000);
+    world
+}
+
+fn entry(world: &World, region_of: &str) -> usize {
+    let is_entry = |it: &usize| {
+        let state = &world.nodes[*it].state;
+        state.role.current == Role::Entry && state.settings.domain == region_of
+    };
+    (0..world.nodes.len()).find(is_entry).expect("there are entries")
+}
+
+/// The daemon that carries the database in a region.
+fn home_in(world: &World, region: &str) -> usize {
+    let carries = |it: &usize| {
+        let state = &world.nodes[*it].state;
+        let there = state.settings.region(&state.settings.domain).is_some_and(|own| own == region);
+        there && world.nodes[*it].up && state.home.carries(DATABASE)
+    };
+    (0..world.nodes.len()).find(carries).expect("there is a home")
+}
+
+fn connected(world: &World, daemon: usize, server: &str) -> usize {
+    world.nodes[daemon].state.pools.get(server).map_or(0, |pool| pool.connections.len())
+}
+
+#[test]
+fn a_few_daemons_of_each_failure_domain_are_hosts() {
+    let world = fleet();
+    let mut hosts = std::collections::BTreeMap::<id::Domain, usize>::new();
+    for node in world.nodes.iter().filter(|node| node.state.role.current == Role::Host) {
+        *hosts.entry(node.state.settings.domain.clone()).or_default() += 1;
+    }
+    assert_eq!(hosts.len(), 3, "{hosts:?}");
+    assert!(hosts.values().all(|count| (HOSTS..HOSTS * 2).contains(count)), "{hosts:?}");
+}
+
+#[test]
+fn an_entry_holds_no_connection_to_a_server_and_follows_nothing_in_the_store() {
+    let mut world = fleet();
+    let at = entry(&world, "alpha");
+    let session = world.login(at, "latest", "key");
+    world.query(session, "WRITE 1 x").expect("it is written");
+    world.query(session, "BEGIN").expect("it begins");
+    world.query(session, "READ 1").expect("it is read");
+    world.query(session, "WRITE 2 y").expect("it is written");
+    world.query(session, "COMMIT").expect("it is committed");
+    assert_eq!(world.ran("a", "WRITE 2 y"), 1);
+    assert!(world.nodes[at].state.pools.is_empty());
+    world.run(4000);
+    world.calls.clear();
+    world.run(10_000);
+    let calls: usize = world.calls.values().sum();
+    assert!(calls < 13 * 10, "only hosts call the store: {:?}", world.calls);
+}
+
+#[test]
+fn all_daemons_send_a_databases_writes_through_one_home() {
+    let mut world = fleet();
+    for daemon in 0..FLEET {
+        let session = world.login(daemon, "latest", "key");
+        world.query(session, "WRITE 1 x").expect("it is written");
+    }
+    world.run(1000);
+    for daemon in 0..FLEET {
+        let session = world.login(daemon, "latest", "key");
+        world.query(session, "WRITE 2 x").expect("it is written");
+    }
+    assert_eq!(world.ran("a", "WRITE 2 x"), FLEET);
+    let home = home_in(&world, "east");
+    for daemon in (0..FLEET).filter(|daemon| *daemon != home) {
+        assert_eq!(connected(&world, daemon, "a"), 0, "daemon {daemon}");
+    }
+    assert!(connected(&world, home, "a") > 0);
+}
+
+#[test]
+fn reads_of_an_age_stay_in_their_region_once_the_primarys_position_is_told() {
+    let mut world = fleet();
+    let far = entry(&world, "gamma");
+    let writer = world.login(entry(&world, "alpha"), "latest", "key");
+    let reader = world.login(far, "bounded", "key");
+    for _ in 0..10 {
+        world.query(writer, "WRITE 1 x").expect("it is written");
+        world.replicate();
+        world.query(reader, "READ 1").expect("it is read");
+        world.run(100);
+    }
+    assert!(
+        world.ran("c", "READ 1") >= 7,
+        "{} of 10 at the near replica",
+        world.ran("c", "READ 1")
+    );
+}
+
+#[test]
+fn a_session_reads_its_own_writes_through_two_homes() {
+    let mut world = fleet();
+    let session = world.login(entry(&world, "gamma"), "own", "key");
+    for _ in 0..5 {
+        world.query(session, "WRITE 1 x").expect("it is written");
+        let before = world.ran("c", "READ 1");
+        world.query(session, "READ 1").expect("it is read");
+        assert_eq!(world.ran("c", "READ 1"), before, "the replica lacks the write");
+        world.replicate();
+        world.run(300);
+    }
+}
+
+#[test]
+fn a_home_that_dies_is_replaced_at_once() {
+    let mut world = fleet();
+    let at = entry(&world, "alpha");
+    let session = world.login(at, "latest", "key");
+    world.query(session, "WRITE 1 x").expect("it is written");
+    let open = world.login(at, "latest", "key");
+    world.query(open, "BEGIN").expect("it begins");
+    world.query(open, "WRITE 2 x").expect("it is written");
+    let waiting = world.login(at, "latest", "key");
+    world.send(waiting, "WRITE 3 x");
+    world.run(2);
+    let home = home_in(&world, "east");
+    world.kill(home);
+    world.run(50);
+    let doubt = world.take(waiting);
+    let fault = doubt.iter().find_map(|reply| match reply {
+        gcl_direct::caller::Reply::Error(fault) => Some(fault.code),
+        _ => None,
+    });
+    assert_eq!(fault, Some(Code::OutcomeUnknown), "{doubt:?}");
+    let lost = world.query(open, "COMMIT").expect_err("its transaction went with the home");
+    assert_eq!(lost.code, Code::TransactionLost);
+    let before = world.now_ms;
+    world.query(session, "WRITE 4 x").expect("another host runs it");
+    assert!(world.now_ms - before < 100, "{} ms", world.now_ms - before);
+}
+
+#[test]
+fn a_silent_home_is_not_waited_for_by_reads() {
+    let mut world = fleet();
+    let at = entry(&world, "alpha");
+    let session = world.login(at, "bounded", "key");
+    world.query(session, "READ 1").expect("it is read");
+    let home = home_in(&world, "east");
+    world.nodes[home].no_peers = true;
+    let before = world.now_ms;
+    world.query(session, "READ 2").expect("another host runs it");
+    assert!(world.now_ms - before < 800, "{} ms", world.now_ms - before);
+    let before = world.now_ms;
+    world.query(session, "READ 3").expect("another host runs it");
+    assert!(world.now_ms - before < 50, "{} ms", world.now_ms - before);
+}
+
+#[test]
+fn a_planned_stop_of_a_home_cuts_nothing() {
+    let mut world = fleet();
+    let at = entry(&world, "alpha");
+    let session = world.login(at, "latest", "key");
+    let open = world.login(at, "latest", "key");
+    world.query(open, "BEGIN").expect("it begins");
+    world.query(open, "WRITE 1 x").expect("it is written");
+    let home = home_in(&world, "east");
+    world.stop(home);
+    for _ in 0..40 {
+        world.query(session, "WRITE 2 x").expect("it is written");
+        world.run(50);
+    }
+    world.query(open, "COMMIT").expect("it ends where it began");
+    for _ in 0..100 {
+        world.query(session, "WRITE 3 x").expect("it is written");
+        world.run(50);
+    }
+    assert!(world.nodes[home].exited);
+}
+
+#[test]
+fn an_entry_that_hears_no_host_makes_itself_one() {
+    let mut world = fleet();
+    let at = entry(&world, "gamma");
+    let session = world.login(at, "bounded", "key");
+    for daemon in 0..FLEET {
+        if world.nodes[daemon].state.role.current == Role::Host {
+            world.nodes[daemon].no_peers = true;
+        }
+    }
+    world.run(9000);
+    assert_eq!(world.nodes[at].state.role.current, Role::Host);
+    world.query(session, "READ 1").expect("it serves by itself");
+}
+
+#[test]
+fn lost_hosts_are_replaced_by_entries() {
+    let mut world = fleet();
+    let hosts: Vec<_> =
+        (0..FLEET).filter(|it| world.nodes[*it].state.role.current == Role::Host).collect();
+    for host in &hosts {
+        if world.nodes[*host].state.settings.domain == "alpha" {
+            world.kill(*host);
+        }
+    }
+    world.run(12_000);
+    let new = (0..FLEET).filter(|it| !hosts.contains(it));
+    let new = new.filter(|it| world.nodes[*it].state.role.current == Role::Host).count();
+    assert!((HOSTS..HOSTS * 2).contains(&new), "{new} new hosts");
+}
+
+#[test]
+fn larger_vms_are_home_of_more() {
+    let names: Vec<_> = (0..20).map(|index| id::Daemon::from(format!("d{index}"))).collect();
+    let mut large = 0;
+    for database in 0..400 {
+        let hosts = names.iter().enumerate().map(|(index, name)| Candidate {
+            name,
+            near: true,
+            millicores: if index < 10 { 500 } else { 125 },
+        });
+        let order = home::order(&format!("db{database}"), hosts.collect());
+        large += usize::from(names[..10].contains(order[0]));
+    }
+    assert!((280..360).contains(&large), "{large} of 400, where 320 are their part");
+}
+
+#[test]
+fn a_host_in_the_failure_domain_of_a_server_goes_first() {
+    let (near, far) = (id::Daemon::from("near"), id::Daemon::from("far"));
+    let far = Candidate { name: &far, near: false, millicores: 4000 };
+    let near = Candidate { name: &near, near: true, millicores: 100 };
+    assert_eq!(home::order("db", vec![far, near])[0], "near");
+}
+
+/// The hosts of a failure domain are turned away by the store for longer than a change may take.
+#[test]
+fn a_configuration_reaches_entries_whose_hosts_the_store_turns_away() {
+    let mut world = fleet();
+    let at = entry(&world, "alpha");
+    let hosts = (0..FLEET).filter(|it| {
+        let state = &world.nodes[*it].state;
+        state.role.current == Role::Host && state.settings.domain == "alpha"
+    });
+    for host in hosts.collect::<Vec<_>>() {
+        world.outage(Some(host), true);
+    }
+    world.run(500);
+    world.configure(|config| {
+        config.keys.swap_remove("other-key");
+    });
+    world.run(3500);
+    let known = world.nodes[at].state.config.as_ref().map_or(0, |config| config.version);
+    assert_eq!(known, world.config.version);
+}
+
+#[test]
+fn an_entry_that_reaches_no_host_refuses_soon_and_truly() {
+    let mut world = fleet();
+    let at = entry(&world, "gamma");
+    let session = world.login(at, "latest", "key");
+    world.nodes[at].no_peers = true;
+    world.outage(Some(at), true);
+    let doubt = world.query(session, "WRITE 1 x").expect_err("no host answers");
+    assert_eq!(doubt.code, Code::OutcomeUnknown);
+    world.run(4000);
+    assert!(!world.nodes[at].ready, "the balancer is told");
+    let before = world.now_ms;
+    let fault = world.query(session, "WRITE 2 x").expect_err("no host answers");
+    assert_eq!(fault.code, Code::HomeLost);
+    assert!(world.now_ms - before < 10, "{} ms", world.now_ms - before);
+}
--- a/crates/gcl-direct/tests/direct/main.rs
+++ b/crates/gcl-direct/tests/direct/main.rs
@@ -13,6 +13,7 @@
 mod evidence;
 mod failover;
 mod gossip;
+mod home;
 mod limit;
 mod observation;
 mod place;
--- a/crates/gcl-direct/tests/direct/world.rs
+++ b/crates/gcl-direct/tests/direct/world.rs
@@ -13,6 +13,7 @@
     directory::Entry,
     effect::Effect,
     event::Event,
+    link::{self, Ask},
     reduce::reduce,
     settings::{Bounds, Settings},
     state::State,
@@ -28,11 +29,16 @@
 const PROMOTION_MS: u64 = 300;
 /// Time of a message's way.
 const WAY_MS: u64 = 1;
+/// Time of a message's way between regions.
+const FAR_WAY_MS: u64 = 8;
 /// Time that a statement takes at a server.
 const WORK_MS: u64 = 4;
 /// Time after which a connection that nobody answers is given up.
 const SILENCE_MS: u64 = 600;
 
+/// Failure domains of most tests; the last is in a region of its own.
+const DOMAINS: [&str; 3] = ["alpha", "beta", "gamma"];
+
 /// One way of a caller into the system.
 pub type Session = (usize, id::Session);
 
@@ -93,12 +99,17 @@
     pub nodes: Vec<Node>,
     pub servers: IndexMap<id::Server, Server>,
     pub config: Config,
+    domains: usize,
     pub store_down: bool,
     /// Orders to promote: server and fence.
     pub promotions: Vec<(id::Server, u64)>,
     pub calls: IndexMap<&'static str, usize>,
     /// Digests sent.
     pub told: usize,
+    /// Messages on streams between daemons, by kind.
+    pub asked: IndexMap<&'static str, usize>,
+    /// Streams that are open, by who opened them and to whom.
+    streams: IndexSet<(usize, usize)>,
     queue: BTreeMap<(u64, u64), What>,
     order: u64,
     revision: u64,
@@ -111,16 +122,24 @@
     logins: IndexMap<Session, (String, String)>,
 }
 
-pub fn settings(daemon: usize) -> Settings {
-    let domains = [("alpha", "east"), ("beta", "east"), ("gamma", "west")];
+/// Settings of a daemon in one of `count` failure domains, two of three in the region of the east.
+fn settings_in(daemon: usize, count: usize) -> Settings {
+    let domains = (0..count).map(|index| {
+        let known = DOMAINS.get(index).map(|name| (*name).to_owned());
+        let name = known.unwrap_or_else(|| format!("domain-{index}"));
+        (id::Domain::from(name), if index % 3 < 2 { "east" } else { "west" })
+    });
+    let domains: Vec<_> = domains.collect();
     Settings {
         daemon: format!("d{daemon}").into(),
-        domain: domains[daemon % 3].0.into(),
+        domain: domains[daemon % count].0.clone(),
         regions: domains
             .iter()
-            .map(|(domain, region)| ((*domain).into(), (*region).into()))
+            .map(|(domain, region)| (domain.clone(), (*region).into()))
             .collect(),
         peer_address: format!("127.0.0.1:{}", 7000 + daemon).into(),
+        millicores: 500,
+        bootstrap: false,
         bounds: bounds(),
     }
 }
@@ -164,7 +183,13 @@
 impl World {
     /// Daemons before a primary `a` and two replicas, all at rest and ready.
     pub fn new(daemons: usize) -> Self {
-        let mut world = Self { now_ms: 1000, revision: 10, config: config(), ..Self::default() };
+        Self::spread(daemons, DOMAINS.len())
+    }
+
+    /// The same with the daemons in `domains` failure domains.
+    pub fn spread(daemons: usize, domains: usize) -> Self {
+        let mut world =
+            Self { now_ms: 1000, revision: 10, config: config(), domains, ..Self::default() };
         for (name, domain) in [("a", "alpha"), ("b", "beta"), ("c", "gamma")] {
             world.add_server(name, domain, name == "a");
         }
@@ -208,7 +233,7 @@
     pub fn boot(&mut self, daemon: usize) {
         let seed = self.now_ms * 31 + daemon as u64;
         let node = Node {
-            state: State::new(settings(daemon), seed),
+            state: State::new(settings_in(daemon, self.domains), seed),
             up: true,
             ready: false,
             exited: false,
@@ -228,6 +253,7 @@
     /// Kills a daemon: its connections end, and nobody is told.
     pub fn kill(&mut self, daemon: usize) {
         self.nodes[daemon].up = false;
+        self.end_streams(daemon);
         self.links.retain(|(node, _), _| *node != daemon);
         self.watches.retain(|(node, ..)| *node != daemon);
     }
@@ -373,12 +399,72 @@
                     self.later(WAY_MS, to, Event::Peer(digest));
                 }
             }
+            Effect::Link(call) => self.call_peer(daemon, call),
             Effect::Ready(ready) => self.nodes[daemon].ready = ready,
-            Effect::Exit => self.nodes[daemon].exited = true,
+            Effect::Exit => {
+                self.nodes[daemon].exited = true;
+                self.end_streams(daemon);
+            }
             Effect::Log(_) | Effect::Metric(_) => {}
         }
     }
 
+    /// Whether two daemons reach each other.
+    fn connected(&self, one: usize, other: usize) -> bool {
+        let (one, other) = (&self.nodes[one], &self.nodes[other]);
+        !one.no_peers && !other.no_peers && one.up && other.up && !one.exited && !other.exited
+    }
+
+    fn call_peer(&mut self, daemon: usize, call: link::Call) {
+        match call {
+            link::Call::Ask { host, address, ask } => {
+                *self.asked.entry(kind(&ask)).or_default() += 1;
+                let to = self.nodes.iter().position(|it| it.state.settings.peer_address == address);
+                let Some(to) = to.filter(|to| self.nodes[*to].up && !self.nodes[*to].exited) else {
+                    self.streams.retain(|(from, to)| *from != daemon || self.nodes[*to].up);
+                    let down = link::Event::Down { host, opened: false };
+                    return self.later(WAY_MS * 2, daemon, Event::Link(down));
+                };
+                if self.connected(daemon, to) {
+                    self.streams.insert((daemon, to));
+                    let asked = link::Event::Asked(daemon as u64, ask);
+                    self.later(self.way(daemon, to), to, Event::Link(asked));
+                }
+            }
+            link::Call::Tell(link, tell) => {
+                let to = link as usize;
+                let told =
+                    link::Event::Told(self.nodes[daemon].state.settings.daemon.clone(), tell);
+                if self.connected(daemon, to) && self.streams.contains(&(to, daemon)) {
+                    self.later(self.way(daemon, to), to, Event::Link(told));
+                }
+            }
+            link::Call::Close(_) => {}
+        }
+    }
+
+    /// The time of a message's way between two daemons.
+    fn way(&self, one: usize, other: usize) -> u64 {
+        let (one, other) = (&self.nodes[one].state.settings, &self.nodes[other].state.settings);
+        if one.distance(&other.domain) > 1 { FAR_WAY_MS } else { WAY_MS }
+    }
+
+    /// Ends the streams of a daemon that was killed.
+    fn end_streams(&mut self, daemon: usize) {
+        let ended = self.streams.iter().filter(|(from, to)| *from == daemon || *to == daemon);
+        let ended: Vec<_> = ended.copied().collect();
+        for (from, to) in ended {
+            self.streams.swap_remove(&(from, to));
+            let event = if from == daemon {
+                (to, link::Event::Left(from as u64))
+            } else {
+                let host = self.nodes[to].state.settings.daemon.clone();
+                (from, link::Event::Down { host, opened: true })
+            };
+            self.later(WAY_MS, event.0, Event::Link(event.1));
+        }
+    }
+
     fn tell_caller(&mut self, session: Session, effect: CallerEffect) {
         match effect {
             CallerEffect::Send(replies) => self.replies.entry(session).or_default().extend(replies),
@@ -715,6 +801,17 @@
     }
 }
 
+fn kind(ask: &Ask) -> &'static str {
+    match ask {
+        Ask::Ping => "ping",
+        Ask::Run(_) => "run",
+        Ask::Forget(_) => "forget",
+        Ask::News(_) => "news",
+        Ask::Position(..) => "position",
+        Ask::Config(_) => "config",
+    }
+}
+
 fn statement(text: &str) -> Statement {
     let mut words = text.split(' ');
     let mut word = || words.next().unwrap_or_default();
