fix(role): all daemons of a small fleet are hosts, and return at once

Change: a fleet has at least twelve hosts; hosts that entries have asked for longer than a lease leave a mark in the store, and without it nobody waits. The mark replaces what digests told of visits.

--- a/crates/gcl-direct/src/follow.rs
+++ b/crates/gcl-direct/src/follow.rs
@@ -359,6 +359,8 @@
     for item in items {
         if let Some(name) = item.key.strip_prefix(lease::PREFIX) {
             on_member(daemon, now, fx, &id::Daemon::from(name), &item);
+        } else if item.key == role::MARK {
+            role::on_mark(daemon, now, item.value.is_some());
         } else if let Some(database) = item.key.strip_prefix(group::PREFIX) {
             on_intention(daemon, now, fx, &id::Database::from(database), &item);
         }
--- a/crates/gcl-direct/src/home.rs
+++ b/crates/gcl-direct/src/home.rs
@@ -11,7 +11,7 @@
 //! Small fleets, where every daemon is a host, keep their own connections to all servers.
 
 use crate::{
-    directory, drain, gossip,
+    directory, drain,
     group::Leader,
     right,
     role::{self, Role},
@@ -23,14 +23,8 @@
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
-/// Most hosts that keep connections to all servers, while no other daemon sends them statements.
-const MOST_DIRECT: usize = 12;
-
 /// How long a home keeps its share of the connections after another host became the home.
 const HANDED_ON: Duration = Duration::from_secs(3);
-/// How long a statement of another daemon shows that there are some that need a home.
-const VISITED: Duration = Duration::from_secs(20);
-
 /// Where a database's servers are.
 #[derive(Clone, Debug, Default, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Site {
@@ -80,8 +74,6 @@
     carried: IndexMap<id::Database, Option<Duration>>,
     /// Whether homes are in use.
     in_use: bool,
-    /// When another daemon last sent a statement.
-    visited: Option<Duration>,
 }
 
 impl State {
@@ -106,21 +98,6 @@
     })
 }
 
-/// Takes note of a statement for another daemon.
-pub fn on_visit(daemon: &mut Daemon, now: Now) {
-    let known = daemon.home.visited.is_some_and(|at| now.since(at) < VISITED);
-    daemon.home.visited = Some(now.mono);
-    if !known {
-        refresh(daemon, now);
-    }
-}
-
-/// Whether other daemons sent this one statements of late.
-#[must_use]
-pub fn is_visited(daemon: &Daemon, now: Now) -> bool {
-    daemon.home.visited.is_some_and(|at| now.since(at) < VISITED)
-}
-
 /// Finds out anew whether homes are in use, and what this daemon carries.
 pub fn refresh(daemon: &mut Daemon, now: Now) {
     // A home that stops as planned carries on to its end.
@@ -128,8 +105,7 @@
         return;
     }
     let before = daemon.home.clone();
-    let visited = is_visited(daemon, now) || gossip::others_visited(daemon, now);
-    daemon.home.in_use = visited || daemon.members.len() > MOST_DIRECT;
+    daemon.home.in_use = daemon.role.entries || daemon.members.len() > role::FEW;
     daemon.home.carried = if daemon.home.in_use { carried(daemon, now) } else { IndexMap::new() };
     let after = &daemon.home;
     if (before.in_use, &before.carried) != (after.in_use, &after.carried) {
--- a/crates/gcl-direct/src/news.rs
+++ b/crates/gcl-direct/src/news.rs
@@ -169,7 +169,8 @@
 }
 
 /// Answers an entry.
-pub fn on_asked(daemon: &Daemon, now: Now, fx: &mut Effects, link: link::Id, known: Known) {
+pub fn on_asked(daemon: &mut Daemon, now: Now, fx: &mut Effects, link: link::Id, known: Known) {
+    role::on_entry(daemon, now, fx);
     let config = daemon.config.as_ref().filter(|config| config.version > known.config);
     let sites: Vec<_> = daemon.groups.keys().map(|database| home::site(daemon, database)).collect();
     let hosts = daemon.members.iter().map(|(name, member)| Host {
--- a/crates/gcl-direct/src/reduce.rs
+++ b/crates/gcl-direct/src/reduce.rs
@@ -98,10 +98,7 @@
         link::Event::Left(link) => guest::on_left(state, now, fx, link),
         link::Event::Asked(link, ask) => match ask {
             Ask::Ping => fx.link(link::Call::Tell(link, link::Tell::Pong)),
-            Ask::Run(run) => {
-                guest::on_run(state, now, fx, link, *run);
-                home::on_visit(state, now);
-            }
+            Ask::Run(run) => guest::on_run(state, now, fx, link, *run),
             Ask::Forget(session) => guest::on_forget(state, now, fx, link, session),
             Ask::News(known) => news::on_asked(state, now, fx, link, known),
             Ask::Config(version) => news::on_config_asked(state, fx, link, version),
--- a/crates/gcl-direct/src/role.rs
+++ b/crates/gcl-direct/src/role.rs
@@ -2,29 +2,35 @@
 //!
 //! Every daemon takes callers. A few in each failure domain are hosts besides: they are listed in the
 //! store, hold the right to primaries and the connections to servers, and run the statements of all.
-//! The others are entries, which cost the store and the servers nothing. In a failure domain of no
-//! more than [`HOSTS`] daemons all are hosts.
+//! The others are entries, which cost the store and the servers nothing. In a fleet of no more than
+//! [`FEW`] daemons all are hosts.
 //!
 //! No host is appointed: a daemon that finds a vacancy in its failure domain waits for a time drawn at
 //! random, less on a larger VM, reads the list again, and makes itself a host if there is still one. A
-//! few too many do no harm. A daemon that is still listed from an earlier life is a host again at
+//! few too many do no harm. Where nobody competes, the wait is spared: hosts that entries have asked for
+//! longer than a lease leave a mark in the store, and without it a daemon fills a vacancy at once.
+//! A daemon that is still listed from an earlier life is a host again at
 //! once, and an entry that hears no host makes itself one.
 
 use crate::{
     drain,
     effect::Effects,
-    follow, gossip,
+    follow, gossip, home,
     line::Line,
     member, news,
     state::State as Daemon,
     store::{Call, Topic},
     timer,
 };
+use bytes::Bytes;
 use gcl_core::{id, random::Random, time::Now};
 use std::time::Duration;
 
 /// Hosts of a failure domain. Any two may be lost at once.
 pub const HOSTS: usize = 3;
+/// Hosts that a fleet has at least, wherever they are. So many keep connections to all servers where
+/// there are no entries; more do not find enough at a server.
+pub const FEW: usize = 12;
 /// What a VM carries at least that is made a host before others, in thousandths of a core.
 const LARGE_MILLICORES: u32 = 400;
 /// Time over which the waits of VMs that have just started are spread. A host is listed within a
@@ -35,6 +41,13 @@
 /// How many times as long the wait of a smaller VM is, and what it begins with.
 const SMALL_SPREADS: u32 = 2;
 
+/// Key of the mark of a fleet with entries.
+pub const MARK: &str = "goldcrest/entries";
+/// How long entries ask before the mark is left: longer than a VM that was replaced stays listed.
+const MARK_AFTER: Duration = Duration::from_secs(8);
+/// Pause of the entries after which that time begins anew, and between two tries to leave the mark.
+const MARK_PAUSE: Duration = Duration::from_secs(3);
+
 /// What a daemon is to the others.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Role {
@@ -56,6 +69,12 @@
     confirming: bool,
     /// Whether no host is heard.
     alone: bool,
+    /// Whether the store holds the mark of a fleet with entries.
+    pub entries: bool,
+    /// Since when entries ask this host, and when one last did.
+    asked: Option<(Duration, Duration)>,
+    /// When this host last wrote the mark.
+    marked: Option<Duration>,
 }
 
 /// How long a daemon waits before it fills a vacancy.
@@ -72,10 +91,11 @@
     least + Duration::from_millis(random.next() % spread_ms)
 }
 
-/// Hosts that are lacking among those of a failure domain.
+/// Hosts that are lacking, in a failure domain or in the whole fleet.
 #[must_use]
 pub fn vacancies<'a>(listed: impl Iterator<Item = &'a id::Domain>, domain: &id::Domain) -> usize {
-    HOSTS.saturating_sub(listed.filter(|other| *other == domain).count())
+    let (near, far): (Vec<_>, Vec<_>) = listed.partition(|other| *other == domain);
+    HOSTS.saturating_sub(near.len()).max(FEW.saturating_sub(near.len() + far.len()))
 }
 
 /// Reads the list of hosts; when the system starts for the first time, only once those have had the
@@ -105,7 +125,9 @@
         return become_host(daemon, now, fx, returns);
     }
     if vacant {
+        let competes = daemon.role.entries;
         let wait = wait(daemon.role.current, daemon.settings.millicores, &mut daemon.random);
+        let wait = if competes { wait } else { Duration::ZERO };
         if !daemon.timers.is_armed(&timer::Key::Role) {
             daemon.timers.arm(timer::Key::Role, now.mono + wait);
         }
@@ -140,7 +162,7 @@
 }
 
 fn become_host(daemon: &mut Daemon, now: Now, fx: &mut Effects, returns: bool) {
-    daemon.role = State { current: Role::Host, confirming: false, alone: false };
+    daemon.role = State { current: Role::Host, confirming: false, alone: false, ..daemon.role };
     daemon.timers.cancel(&timer::Key::Role);
     daemon.timers.cancel(&timer::Key::News);
     let line = Line::belief("host").with("listed", daemon.members.len());
@@ -150,6 +172,29 @@
     gossip::start(daemon, now);
 }
 
+/// Takes note that an entry asks this host.
+pub fn on_entry(daemon: &mut Daemon, now: Now, fx: &mut Effects) {
+    let since = match daemon.role.asked {
+        Some((since, last)) if now.since(last) < MARK_PAUSE => since,
+        _ => now.mono,
+    };
+    daemon.role.asked = Some((since, now.mono));
+    let tried = daemon.role.marked.is_some_and(|at| now.since(at) < MARK_PAUSE);
+    let due = now.since(since) >= MARK_AFTER && daemon.role.current == Role::Host;
+    if due && !daemon.role.entries && !tried {
+        daemon.role.marked = Some(now.mono);
+        let call = daemon.next_id();
+        let value = Bytes::from_static(b"1");
+        fx.store(Call::Write { call, key: MARK.into(), expected: 0, value, lease: 0 });
+    }
+}
+
+/// Takes the mark of a fleet with entries as it was read.
+pub fn on_mark(daemon: &mut Daemon, now: Now, present: bool) {
+    daemon.role.entries = present;
+    home::refresh(daemon, now);
+}
+
 /// Whether a host takes statements, as far as this daemon knows.
 #[must_use]
 pub fn serves(daemon: &Daemon, now: Now, name: &id::Daemon) -> bool {
