fix(gossip): two daemons that both need a loan do not answer each other without end

Cause: a daemon that asks for a loan is answered at once by each that holds its lease. A lease that is not renewed for 1.65 s asks for a loan and still holds for 4 s, so that two such daemons answered each other's digests as fast as these travelled.

Ruled out: configurations read by all (the hosts alone read them), reviews of all databases (they follow the digests).

Change: only a daemon whose lease is not overdue answers, once in 120 ms for each that asks.

Also: a host that is no longer listed is still asked to end the transactions that it has, a transaction that a host refused waits for its rollback, and explain takes the entry's word for a request's end (tests for each).

--- a/crates/gcl-audit/src/trail.rs
+++ b/crates/gcl-audit/src/trail.rs
@@ -17,7 +17,7 @@
 /// Most lines of context that are kept.
 const MOST_CONTEXT: usize = 200;
 /// Events of a daemon that touch all its requests.
-const DAEMON_EVENTS: [&str; 17] = [
+const DAEMON_EVENTS: [&str; 23] = [
     "started",
     "process started",
     "draining",
@@ -34,6 +34,12 @@
     "readiness changed",
     "daemon seen",
     "daemon gone",
+    "host",
+    "entry",
+    "hosts known",
+    "host suspect",
+    "host answers again",
+    "no host is heard",
     "lines left out",
 ];
 
@@ -205,11 +211,19 @@
 
 /// Why a request ended as it did, from the last line that decided it.
 fn cause(steps: &[Line], context: &[Line], left_out: u64) -> String {
+    // Where hosts ran it for another daemon, that one's word is the last.
+    let entry = steps.iter().find(|line| line.is("sent to a host")).map(|line| &line.daemon);
+    let ended = steps
+        .iter()
+        .rfind(|line| line.is("ended") && entry.is_none_or(|entry| line.daemon == *entry));
+    let is_served = ended.is_some_and(|line| line.text("outcome") == Some("served"));
     let refused = |line: &&Line| line.is("operation refused") || line.is("statement refused");
-    if let Some(line) = steps.iter().rfind(refused) {
+    if let Some(line) = steps.iter().rfind(refused).filter(|_| !is_served) {
         return refusal(line, context);
     }
-    let ended = steps.iter().rfind(|line| line.is("ended"));
+    if let Some(line) = steps.iter().rfind(|line| line.is("host lost")) {
+        return host_lost(steps, line);
+    }
     match ended.and_then(|line| line.text("outcome")) {
         Some("served") => served(steps, ended),
         Some("in doubt" | "lost") => lost(steps, context),
@@ -310,6 +324,16 @@
     }
 }
 
+/// Why the answer of a statement was lost that a host had.
+fn host_lost(steps: &[Line], line: &Line) -> String {
+    let host = steps.iter().rfind(|line| line.is("sent to a host"));
+    let host = host.and_then(|line| line.text("host")).unwrap_or("a host");
+    let reason = line.text("reason").unwrap_or("for no known reason");
+    let ran = steps.iter().any(|line| line.daemon == host && line.is("placed"));
+    let there = if ran { "which had sent it to a server" } else { "whose lines do not name it" };
+    format!("{} had sent it to {host}, {there}, and had no answer: {reason}.", line.daemon)
+}
+
 /// Why the answer of a statement was lost that had been sent.
 fn lost(steps: &[Line], context: &[Line]) -> String {
     let Some(line) = steps.iter().rfind(|line| line.is("connection lost")) else {
--- a/crates/gcl-audit/tests/audit/trail.rs
+++ b/crates/gcl-audit/tests/audit/trail.rs
@@ -148,3 +148,32 @@
     assert_eq!(follow_one("4096", &[&log]).steps.len(), 1);
     assert_eq!(follow_one("409", &[&log]).steps.len(), 0);
 }
+
+#[test]
+fn a_host_that_passed_a_request_on_does_not_decide_its_end() {
+    let lines = [
+        line(1000, "e", "sent to a host", r#","request":"r1","host":"h1""#),
+        line(1001, "h1", "statement refused", r#","request":"r1","fault":"G133 The server: gone""#),
+        line(1002, "h1", "ended", r#","request":"r1","outcome":"refused""#),
+        line(1003, "e", "sent to a host", r#","request":"r1","host":"h2""#),
+        line(1004, "h2", "placed", r#","request":"r1","server":"s""#),
+        line(1010, "h2", "ended", r#","request":"r1","outcome":"served","took":6"#),
+        line(1011, "e", "ended", r#","request":"r1","outcome":"served","took":11"#),
+    ];
+    let log = lines.join("\n");
+    assert_eq!(follow_one("r1", &[&log]).cause, "It was served in 11 ms, at try 1.");
+}
+
+#[test]
+fn a_lost_host_is_named_with_what_it_had_done() {
+    let lines = [
+        line(1000, "e", "sent to a host", r#","request":"r1","host":"h1""#),
+        line(1001, "h1", "placed", r#","request":"r1","server":"s""#),
+        line(1002, "e", "host lost", r#","request":"r1","reason":"the host was lost""#),
+        line(1002, "e", "ended", r#","request":"r1","outcome":"in doubt""#),
+    ];
+    let log = lines.join("\n");
+    let cause = "e had sent it to h1, which had sent it to a server, and had no answer: the host was \
+                 lost.";
+    assert_eq!(follow_one("r1", &[&log]).cause, cause);
+}
--- a/crates/gcl-direct/src/forward.rs
+++ b/crates/gcl-direct/src/forward.rs
@@ -196,6 +196,7 @@
         fx.log(line.with("host", host).with("fault", fault));
         return pass(daemon, now, fx, session, host);
     }
+    let commits = request.query.statement == Statement::Commit;
     entry.mark = answer.mark.or(entry.mark);
     if let Some(floor) = answer.floor {
         let known = entry.floors.entry(request.route.database.clone()).or_default();
@@ -203,7 +204,9 @@
     }
     match (&mut entry.transaction, answer.status) {
         (Transaction::Open(open), Status::Open) => open.host = Some(host.clone()),
-        (Transaction::Open(_), Status::Failed) => entry.transaction = Transaction::Failed,
+        (Transaction::Open(_), status) if status == Status::Failed || !commits => {
+            entry.transaction = Transaction::Failed;
+        }
         _ => entry.transaction = Transaction::None,
     }
     let outcome = match (&fault, answer.replies.last()) {
--- a/crates/gcl-direct/src/gossip.rs
+++ b/crates/gcl-direct/src/gossip.rs
@@ -169,6 +169,8 @@
     digest: Digest,
     heard: Duration,
     lent_until: Duration,
+    /// When a digest of it was last answered at once.
+    answered: Duration,
 }
 
 /// Another cell, as it was last heard of.
@@ -589,9 +591,8 @@
     }
     let listed = daemon.members.get(&from).map(|member| &member.record.domain);
     let near = listed.is_none_or(|domain| daemon.settings.distance(domain) < 2);
-    if digest.needs_loan && near && daemon.lease.holds(now.mono) {
-        let answer = self::digest(daemon, now);
-        tell(daemon, now, fx, &from, answer);
+    if digest.needs_loan && near {
+        lend(daemon, now, fx, &from);
     }
     // In a large fleet most digests bring nothing that concerns a primary.
     let concerned = digest.alarm || now.mono < daemon.gossip.alarm_until;
@@ -602,6 +603,18 @@
     }
 }
 
+/// Answers a daemon that asks for a loan, if there is one for it. Two that both ask would else answer
+/// each other without end.
+fn lend(daemon: &mut Daemon, now: Now, fx: &mut Effects, to: &id::Daemon) {
+    let able = daemon.lease.holds(now.mono) && !daemon.lease.overdue(now.mono);
+    let peer = daemon.gossip.peers.entry(to.clone()).or_default();
+    if able && now.since(peer.answered) >= HURRY {
+        peer.answered = now.mono;
+        let answer = digest(daemon, now);
+        tell(daemon, now, fx, to, answer);
+    }
+}
+
 /// Takes the sum of another cell, from its delegate or passed on by a daemon of the own cell.
 fn on_summary(daemon: &mut Daemon, now: Now, from: &id::Daemon, summary: &Summary) {
     let summed = now.mono.saturating_sub(summary.age);
--- a/crates/gcl-direct/src/link.rs
+++ b/crates/gcl-direct/src/link.rs
@@ -174,6 +174,8 @@
     heard: Duration,
     /// Since when it is suspect.
     suspect: Option<Duration>,
+    /// Where it hears, as long as it was listed.
+    address: CompactString,
 }
 
 /// The ways to other daemons.
@@ -197,10 +199,14 @@
     }
 }
 
-/// Asks a host; nothing is sent to one that is not listed.
-pub fn ask(daemon: &Daemon, fx: &mut Effects, host: &id::Daemon, ask: Ask) {
+/// Asks a host. One that is no longer listed may still have a transaction.
+pub fn ask(daemon: &mut Daemon, fx: &mut Effects, host: &id::Daemon, ask: Ask) {
+    let known = daemon.link.hosts.entry(host.clone()).or_default();
     if let Some(member) = daemon.members.get(host) {
-        let address = member.record.address.clone();
+        known.address.clone_from(&member.record.address);
+    }
+    if !known.address.is_empty() {
+        let address = known.address.clone();
         fx.link(Call::Ask { host: host.clone(), address, ask });
     }
 }
@@ -222,7 +228,7 @@
     let Some(known) = daemon.link.hosts.get_mut(host) else {
         return;
     };
-    if !listed && known.unanswered.is_empty() {
+    if !listed && known.unanswered.is_empty() && known.suspect.is_some() {
         daemon.link.hosts.swap_remove(host);
         return fx.link(Call::Close(host.clone()));
     }
--- a/crates/gcl-direct/src/news.rs
+++ b/crates/gcl-direct/src/news.rs
@@ -147,7 +147,8 @@
     }
     if let Some(host) = source(daemon) {
         daemon.news.asked = Some((host.clone(), now.mono));
-        link::ask(daemon, fx, &host, Ask::News(daemon.news.known));
+        let known = daemon.news.known;
+        link::ask(daemon, fx, &host, Ask::News(known));
     }
 }
 
--- a/crates/gcl-direct/tests/direct/home.rs
+++ b/crates/gcl-direct/tests/direct/home.rs
@@ -319,3 +319,72 @@
     assert!((FEW..FEW + HOSTS * 3).contains(&hosts), "{hosts} hosts");
     assert!(world.nodes.iter().all(|node| node.ready));
 }
+
+/// A host that is no longer listed still ends the transactions that it has.
+#[test]
+fn a_transaction_ends_at_a_host_that_is_no_longer_listed() {
+    let mut world = fleet();
+    let at = entry(&world, "alpha");
+    let session = world.login(at, "latest", "key");
+    world.query(session, "BEGIN").expect("it begins");
+    world.query(session, "WRITE 1 x").expect("it is written");
+    let home = home_in(&world, "east");
+    let name = world.nodes[home].state.settings.daemon.clone();
+    world.nodes[at].state.members.swap_remove(&name);
+    world.run(1000);
+    world.query(session, "COMMIT").expect("the host has the transaction");
+}
+
+/// The home stops, and no other host is left to ask.
+#[test]
+fn a_transaction_that_no_host_takes_can_be_rolled_back() {
+    let mut world = fleet();
+    let at = entry(&world, "alpha");
+    for daemon in 0..FLEET {
+        if world.nodes[daemon].state.role.current == Role::Host {
+            world.stop(daemon);
+        }
+    }
+    world.run(3100);
+    let session = world.login(at, "latest", "key");
+    world.query(session, "BEGIN").expect("it begins");
+    let fault = world.query(session, "WRITE 1 x").expect_err("the hosts stop");
+    assert!(fault.code.not_run());
+    world.query(session, "ROLLBACK").expect("the transaction had failed");
+}
+
+/// What a fleet does within ten seconds while the store turns a third of it away, keys are withdrawn and
+/// a new configuration comes every half second: calls to the store, digests, questions to hosts.
+fn effort(daemons: usize) -> [usize; 3] {
+    let mut world = World::new(daemons);
+    world.run(13_000);
+    let count = |world: &World| {
+        let (calls, asked) = (world.calls.values().sum(), world.asked.values().sum());
+        [calls, world.told, asked]
+    };
+    let before = count(&world);
+    for daemon in (0..daemons).step_by(3) {
+        world.outage(Some(daemon), true);
+    }
+    for round in 0..20 {
+        world.configure(|config| {
+            let workspace = id::Workspace::from(format!("w{round}"));
+            config.keys.insert(format!("key-{round}").into(), workspace);
+        });
+        world.run(500);
+    }
+    let after = count(&world);
+    [0, 1, 2].map(|kind| after[kind] - before[kind])
+}
+
+/// The whole fleet's effort, but for the questions of entries, which each daemon bears alike.
+#[test]
+fn the_effort_of_a_fleet_does_not_grow_with_its_daemons() {
+    let small = effort(30);
+    for daemons in [100, 300] {
+        let large = effort(daemons);
+        assert!(large[0] <= small[0] * 2, "{daemons} daemons: {large:?}, 30: {small:?}");
+        assert!(large[1] <= small[1] * 2, "{daemons} daemons: {large:?}, 30: {small:?}");
+        assert!(large[2] <= daemons * 25, "{daemons} daemons: {large:?}, 30: {small:?}");
+    }
+}
