perf(follow): hosts of a large fleet that the store turns away ask it less often

Cause: each of them asked for three topics every half second; calls that are turned away are counted too.

Change: the pause grows to two seconds as failures add up. Entries and small fleets are as before.

--- a/crates/gcl-direct/src/follow.rs
+++ b/crates/gcl-direct/src/follow.rs
@@ -26,6 +26,9 @@
 
 /// Mean pause before a failed call is made again.
 const RETRY: Duration = Duration::from_millis(500);
+/// Most times that pause, as failures add up, in a fleet with homes: a host that the store turns away
+/// hears of new configurations from others, and calls that are turned away are counted as well.
+const MOST_RETRIES: u32 = 4;
 /// Pause between watches of the daemons' own keys: each change there ends the watch of every daemon,
 /// and what is urgent about them is told by digests.
 const OWN_PAUSE: Duration = Duration::from_secs(2);
@@ -50,6 +53,8 @@
     revision: id::Revision,
     read: bool,
     failing: Option<Duration>,
+    /// Calls that failed since then.
+    failures: u32,
 }
 
 /// How the store is followed.
@@ -148,6 +153,7 @@
     let first = !known.read;
     match result {
         Ok((contents, revision)) => {
+            known.failures = 0;
             if let Some(since) = known.failing.take() {
                 let line = Line::belief("store regained").with("topic", topic.name());
                 fx.log(line.millis("away", now.since(since)));
@@ -211,8 +217,12 @@
         fx.log(line.with("failure", format_args!("{failure:?}")));
     }
     let first = !known.read;
+    known.failures += 1;
+    let failures = known.failures.min(MOST_RETRIES);
+    let patient = daemon.role.current == Role::Host && home::in_use(daemon);
+    let pauses = if patient { failures } else { 1 };
     if !whole || first {
-        let pause = daemon.random.jitter(RETRY);
+        let pause = daemon.random.jitter(RETRY * pauses);
         daemon.timers.arm(timer::Key::Store(topic), now.mono + pause);
     }
     if whole && topic == Topic::Own {
