fix(direct): a changed message between daemons takes none down

Cause: times in digests and streams were added up as they came. A datagram with a changed byte could say a time near the largest, and the sum ended the process; a loan so changed would have lent the right for as long, and a position from the future would have counted as recent for ever.

Ruled out: bytes that are no message (they are counted and left aside).

Change: a loan counts from now at the latest and for its longest time at most, a route's times are cut at an hour, a position that was asked for later than now is left aside.

--- a/crates/gcl-direct/src/feed.rs
+++ b/crates/gcl-direct/src/feed.rs
@@ -88,7 +88,7 @@
 
 /// Takes a position that another host tells.
 pub fn on_position(daemon: &mut Daemon, now: Now, fx: &mut Effects, position: &Position) {
-    let Some((mark, age)) = position.newest else {
+    let Some((mark, age)) = position.newest.filter(|_| position.asked <= now.mono) else {
         return;
     };
     // The answer was written after the question, so the position is at most this old.
--- a/crates/gcl-direct/src/gossip.rs
+++ b/crates/gcl-direct/src/gossip.rs
@@ -653,7 +653,8 @@
     loan: Duration,
     echo: Echo,
 ) {
-    let until = (echo.sent + loan).saturating_sub(MARGIN);
+    // No lender promises more, and nothing was sent to it after now.
+    let until = (echo.sent.min(now.mono) + loan.min(LOAN)).saturating_sub(MARGIN);
     if until <= now.mono || until <= daemon.gossip.loan_until {
         return;
     }
--- a/crates/gcl-direct/src/guest.rs
+++ b/crates/gcl-direct/src/guest.rs
@@ -20,10 +20,12 @@
     time::Now,
 };
 use indexmap::IndexMap;
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 /// Marks the ids of guests, which the shell's own count never reaches.
 const GUEST_BIT: u64 = 1 << 63;
+/// Longest time that a statement may be given; a route that says more was changed on its way.
+const MOST_TIME: Duration = Duration::from_secs(3600);
 /// Largest answer that is passed to an entry, in bytes of rows.
 const MOST_ANSWER_BYTES: usize = 8 << 20;
 
@@ -79,7 +81,12 @@
 }
 
 fn welcome(daemon: &mut Daemon, now: Now, guest: Guest, begin: Begin) -> id::Session {
-    let Begin { workspace, route, floor, transaction } = begin;
+    let Begin { workspace, mut route, floor, transaction } = begin;
+    if route.timeout > MOST_TIME || route.target_latency > MOST_TIME {
+        let route = Arc::make_mut(&mut route);
+        route.timeout = route.timeout.min(MOST_TIME);
+        route.target_latency = route.target_latency.min(MOST_TIME);
+    }
     let session = daemon.next_id() | GUEST_BIT;
     let mut entry = Session { workspace, guest: Some(guest), ..Session::default() };
     if let Some(floor) = floor {
--- a/crates/gcl-direct/src/request/attempt.rs
+++ b/crates/gcl-direct/src/request/attempt.rs
@@ -116,8 +116,8 @@
     else {
         return;
     };
-    (request.need, request.after) = (need, after);
     let unknown = after == Some(UNKNOWN);
+    (request.need, request.after) = (need, after.filter(|_| !unknown));
     if unknown {
         let fault = Fault::new(Code::NoReplica, "no recent position of the primary is known");
         return elsewhere(daemon, now, fx, session, fault.retry_after(BUSY_RETRY));
--- a/crates/gcl-direct/tests/direct/home.rs
+++ b/crates/gcl-direct/tests/direct/home.rs
@@ -3,6 +3,7 @@
 use super::world::{DATABASE, World};
 use gcl_core::{code::Code, id};
 use gcl_direct::{
+    caller::Reply,
     home::{self, Candidate},
     role::{FEW, HOSTS, Role},
 };
@@ -140,7 +141,7 @@
     world.run(50);
     let doubt = world.take(waiting);
     let fault = doubt.iter().find_map(|reply| match reply {
-        gcl_direct::caller::Reply::Error(fault) => Some(fault.code),
+        Reply::Error(fault) => Some(fault.code),
         _ => None,
     });
     assert_eq!(fault, Some(Code::OutcomeUnknown), "{doubt:?}");
@@ -187,6 +188,8 @@
         world.run(50);
     }
     assert!(world.nodes[home].exited);
+    let ran = ["WRITE 1 x", "WRITE 2 x", "WRITE 3 x"].map(|text| world.ran("a", text));
+    assert_eq!(ran, [1, 40, 100], "no home ran a write that another had run");
 }
 
 #[test]
@@ -388,3 +391,47 @@
         assert!(large[2] <= daemons * 25, "{daemons} daemons: {large:?}, 30: {small:?}");
     }
 }
+
+/// A host that falls silent with a write may have run it, and may be heard again.
+#[test]
+fn a_write_at_a_silent_home_is_not_sent_elsewhere() {
+    let mut world = fleet();
+    let at = entry(&world, "alpha");
+    let session = world.login(at, "latest", "key");
+    world.query(session, "WRITE 1 x").expect("it is written");
+    let home = home_in(&world, "east");
+    world.send(session, "WRITE 2 x");
+    world.run(2);
+    world.nodes[home].no_peers = true;
+    world.run(1500);
+    assert_eq!(world.ran("a", "WRITE 2 x"), 1);
+    let doubt = world
+        .take(session)
+        .into_iter()
+        .any(|reply| matches!(reply, Reply::Error(fault) if fault.code == Code::OutcomeUnknown));
+    assert!(doubt, "it is not said to have run or not");
+}
+
+/// The hosts of its failure domain are turned away by the store, and know no newer configuration from it.
+#[test]
+fn a_withdrawn_key_is_not_in_use_again_after_a_restart() {
+    let mut world = fleet();
+    let at = entry(&world, "alpha");
+    for host in 0..FLEET {
+        let state = &world.nodes[host].state;
+        if state.role.current == Role::Host && state.settings.domain == "alpha" {
+            world.outage(Some(host), true);
+        }
+    }
+    world.configure(|config| {
+        config.keys.swap_remove("key");
+    });
+    world.run(3000);
+    world.kill(at);
+    world.run(100);
+    world.boot(at);
+    world.run(1500);
+    assert!(world.nodes[at].ready);
+    let session = world.login(at, "latest", "key");
+    assert!(world.is_closed(session), "the key is refused");
+}
--- a/crates/gcl-direct/tests/direct/main.rs
+++ b/crates/gcl-direct/tests/direct/main.rs
@@ -15,6 +15,7 @@
 mod gossip;
 mod home;
 mod limit;
+mod malformed;
 mod observation;
 mod place;
 mod pool;
--- /dev/null
+++ b/crates/gcl-direct/tests/direct/malformed.rs
@@ -0,0 +1,145 @@
+//! Messages of other daemons with bytes that changed on the way: whatever they say, the daemon goes on.
+
+use super::world::{DATABASE, World};
+use gcl_core::mark::Mark;
+use gcl_direct::{
+    config::{Freshness, Route},
+    event::Event,
+    gossip::{Digest, Echo},
+    link::{self, Ask, Begin, Position, Run, Tell},
+    news,
+    statement::{Access, Query, Statement},
+};
+use proptest::prelude::*;
+use std::{sync::Arc, time::Duration};
+
+/// Changed bytes by place, of a message that is encoded.
+type Changes = Vec<(usize, u8)>;
+
+fn change(mut bytes: Vec<u8>, changes: &Changes) -> Vec<u8> {
+    for (at, byte) in changes {
+        let at = at % bytes.len();
+        bytes[at] = *byte;
+    }
+    bytes
+}
+
+fn changes() -> impl Strategy<Value = Changes> {
+    prop::collection::vec((any::<usize>(), any::<u8>()), 1..12)
+}
+
+fn digest() -> Digest {
+    Digest {
+        from: "d1".into(),
+        address: "127.0.0.1:7001".into(),
+        incarnation: 7,
+        sent: Duration::from_millis(2900),
+        echo: Some(Echo { sent: Duration::from_millis(2800), held: Duration::from_millis(30) }),
+        loan: Some(Duration::from_millis(1500)),
+        ready: true,
+        needs_loan: true,
+        demands: vec![("w".into(), 10.0, 2.0)],
+        alarm: true,
+        config: 3,
+        ..Digest::default()
+    }
+}
+
+fn run() -> Ask {
+    let route = Route {
+        rule: "r".into(),
+        database: DATABASE.into(),
+        freshness: Freshness::OwnWrites(Duration::from_millis(1500)),
+        timeout: Duration::from_secs(1),
+        target_latency: Duration::from_millis(400),
+        priority: 1,
+        public: false,
+    };
+    let begin = Begin {
+        workspace: "w".into(),
+        route: Arc::new(route),
+        floor: Some(Mark::new(1, 100)),
+        transaction: Some((false, Duration::from_millis(5))),
+    };
+    Ask::Run(Box::new(Run {
+        session: 4,
+        serial: 9,
+        begin: Some(begin),
+        values: [("v".into(), "1".into())].into(),
+        prepared: None,
+        query: Query {
+            id: "q".into(),
+            statement: Statement::Data(Access::Write),
+            text: "WRITE 1 x".into(),
+        },
+        left: Duration::from_millis(900),
+    }))
+}
+
+fn encoded(message: &impl serde::Serialize) -> Vec<u8> {
+    postcard::to_allocvec(message).expect("it can be encoded")
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(300))]
+
+    #[test]
+    fn a_changed_digest_takes_no_daemon_down(changes in changes()) {
+        let bytes = change(encoded(&digest()), &changes);
+        if let Ok(digest) = postcard::from_bytes::<Digest>(&bytes) {
+            let mut world = World::new(2);
+            world.feed(0, Event::Peer(Box::new(digest)));
+            world.run(3000);
+        }
+    }
+
+    #[test]
+    fn a_changed_question_takes_no_host_down(changes in changes(), which in 0..3) {
+        let known = news::Known { config: 1, sites: 2, hosts: 3 };
+        let asked = Duration::from_millis(2000);
+        let ask = match which {
+            0 => run(),
+            1 => Ask::News(known),
+            _ => Ask::Position(DATABASE.into(), asked),
+        };
+        let bytes = change(encoded(&ask), &changes);
+        if let Ok(ask) = postcard::from_bytes::<Ask>(&bytes) {
+            let mut world = World::new(2);
+            world.feed(0, Event::Link(link::Event::Asked(1, ask)));
+            world.run(3000);
+        }
+    }
+
+    #[test]
+    fn a_changed_answer_takes_no_entry_down(changes in changes()) {
+        let newest = Some((Mark::new(1, 100), Duration::from_millis(20)));
+        let asked = Duration::from_millis(2000);
+        let tell = Tell::Position(Position { database: DATABASE.into(), asked, newest });
+        let bytes = change(encoded(&tell), &changes);
+        if let Ok(tell) = postcard::from_bytes::<Tell>(&bytes) {
+            let mut world = World::new(2);
+            world.feed(0, Event::Link(link::Event::Told("d1".into(), tell)));
+            world.run(3000);
+        }
+    }
+}
+
+/// The largest values that the encoding carries, where a sum of two would not.
+#[test]
+fn times_beyond_all_bounds_take_no_daemon_down() {
+    let mut world = World::new(2);
+    let echo = Echo { sent: Duration::MAX, held: Duration::MAX };
+    let digest =
+        Digest { sent: Duration::MAX, echo: Some(echo), loan: Some(Duration::MAX), ..digest() };
+    world.feed(0, Event::Peer(Box::new(digest)));
+    let Ask::Run(mut run) = run() else { unreachable!("it is made above") };
+    run.left = Duration::MAX;
+    let begin = run.begin.as_mut().expect("it begins an operation");
+    let route = Arc::make_mut(&mut begin.route);
+    (route.timeout, route.target_latency) = (Duration::MAX, Duration::MAX);
+    route.freshness = Freshness::Bounded(Duration::MAX);
+    world.feed(0, Event::Link(link::Event::Asked(1, Ask::Run(run))));
+    world.run(3000);
+    let session = world.login(0, "latest", "key");
+    world.query(session, "WRITE 1 x").expect("it serves on");
+}
