--- a/crates/gcl-direct/src/gossip.rs
+++ b/crates/gcl-direct/src/gossip/mod.rs
@@ -15,25 +15,32 @@
 //! No clocks are compared: a digest carries the time of the last one that its sender had from the
 //! receiver, and for how long it has held it. A loan runs from that time.
 
+mod demand;
+mod digest;
+mod loan;
+
+pub use self::{
+    demand::spread,
+    digest::{Digest, Echo, Known, Opinion, Reach, Summary},
+    loan::loans_ended,
+};
+
+use self::loan::{borrow, lend, needs_loan};
+
 use crate::{
     cell::{self, Layout},
     drain,
     effect::{Effect, Effects},
     failover,
     follow::RECENT,
-    group::{self, Intention},
-    home,
+    group, home,
     lease::Release,
-    limit,
-    line::Line,
     news, pool, right,
     state::State as Daemon,
     timer,
 };
-use compact_str::CompactString;
 use gcl_core::{id, mark::Mark, time::Now};
 use indexmap::{IndexMap, IndexSet};
-use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
 /// Time between digests to each daemon of the own region, in a fleet of up to [`FLEET`].
@@ -52,8 +59,6 @@
 /// Silence after which a daemon counts as out of reach. What depends on that asks for digests
 /// first: a primary in doubt, an overdue lease.
 const SILENCE: Duration = Duration::from_millis(2500);
-/// Rounds of digests after which what a daemon was asked for counts no more.
-const FORGOTTEN_ROUNDS: u32 = 8;
 /// Longest loan of the right to use primaries.
 const LOAN: Duration = Duration::from_millis(1500);
 /// Age beyond which a cell counts as out of reach: its sums come by two steps, each a round late.
@@ -62,107 +67,9 @@
 const DETOUR_ROUNDS: u32 = 3;
 /// What a loan ends before it is due, for the way of an answer through the daemon.
 const MARGIN: Duration = Duration::from_millis(100);
-/// What is left of the lease when loans are asked for.
-const NEED: Duration = Duration::from_millis(4200);
 /// How recent a success at a primary is that counts as reaching it.
 const REACHED: Duration = Duration::from_secs(1);
 
-/// An intention that a daemon knows.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Known {
-    /// The database.
-    pub database: id::Database,
-    /// The intention's revision.
-    pub revision: id::Revision,
-    /// The intention.
-    pub intention: Intention,
-    /// Whether its target leads.
-    pub done: bool,
-}
-
-/// Whether a daemon reaches a primary.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Reach {
-    /// The primary.
-    pub server: id::Server,
-    /// Whether it answers.
-    pub answers: bool,
-    /// The newest log position that it answered with.
-    pub mark: Option<Mark>,
-}
-
-/// What the daemons of one cell believe together.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Summary {
-    /// The cell.
-    pub cell: cell::Number,
-    /// How long ago it was summed up.
-    pub age: Duration,
-    /// Daemons in it that hear each other.
-    pub heard: u32,
-    /// Sums of what they are asked for, as in [`Digest::demands`].
-    pub demands: Vec<(id::Workspace, f32, f32)>,
-    /// Primaries in doubt.
-    pub opinions: Vec<Opinion>,
-}
-
-/// What the daemons of one cell say of a primary.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Opinion {
-    /// The primary.
-    pub server: id::Server,
-    /// Daemons that it answers.
-    pub answering: u32,
-    /// Daemons that it does not answer.
-    pub silent: u32,
-    /// The newest log position that it answered with.
-    pub mark: Option<Mark>,
-}
-
-/// The last digest that the sender had from the receiver.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Echo {
-    /// When it was sent, on the receiver's clock.
-    pub sent: Duration,
-    /// How long the sender has held it.
-    pub held: Duration,
-}
-
-/// What a daemon believes.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
-pub struct Digest {
-    /// The sender.
-    pub from: id::Daemon,
-    /// Where the sender hears, `ip:port`.
-    pub address: CompactString,
-    /// The sender's life.
-    pub incarnation: id::Incarnation,
-    /// When it was sent, on the sender's clock.
-    pub sent: Duration,
-    /// The last digest that the sender had from the receiver.
-    pub echo: Option<Echo>,
-    /// A loan of the right to use primaries, from [`Echo::sent`] on.
-    pub loan: Option<Duration>,
-    /// Whether the sender serves callers.
-    pub ready: bool,
-    /// Whether the sender asks for a loan.
-    pub needs_loan: bool,
-    /// What the sender is asked for, by workspace: operations within the window, and a second.
-    pub demands: Vec<(id::Workspace, f32, f32)>,
-    /// Intentions that the sender has acknowledged.
-    pub acknowledged: Vec<(id::Database, Release)>,
-    /// Intentions that the sender knows.
-    pub intentions: Vec<Known>,
-    /// Whether the sender knows of a primary in doubt.
-    pub alarm: bool,
-    /// Primaries that the sender uses, while one is in doubt.
-    pub reaches: Vec<Reach>,
-    /// The version of the configuration that the sender has in force.
-    pub config: u64,
-    /// To a delegate, the sender's cell; to the sender's cell, those it is the delegate to.
-    pub summaries: Vec<Summary>,
-}
-
 /// What is known of another daemon from its digests.
 #[derive(Clone, Debug, Default)]
 struct Peer {
@@ -249,62 +156,6 @@
     }
 }
 
-/// Whether nobody uses a database's old primary by a loan of this daemon's right: each borrower has
-/// acknowledged the intention, or its loan has run out.
-#[must_use]
-pub fn loans_ended(
-    daemon: &Daemon,
-    now: Now,
-    database: &id::Database,
-    revision: id::Revision,
-) -> bool {
-    // An earlier life of this daemon may have lent.
-    if now.mono < LOAN {
-        return false;
-    }
-    let peers = &daemon.gossip.peers;
-    let mut borrowing = peers.iter().filter(|(_, peer)| now.mono < peer.lent_until);
-    borrowing.all(|(name, peer)| {
-        let known = daemon.gossip.acknowledged(name, peer.digest.incarnation, database);
-        known.revision >= revision
-    })
-}
-
-/// Adds what was told of a workspace some time ago, carried on at its pace.
-fn add(
-    sum: &mut limit::Demand,
-    told: &[(id::Workspace, f32, f32)],
-    workspace: &id::Workspace,
-    age: Duration,
-) {
-    if let Some((_, asked, pace)) = told.iter().find(|(name, ..)| name == workspace) {
-        sum.asked += f64::from(*pace).mul_add(age.as_secs_f64(), f64::from(*asked));
-        sum.pace += f64::from(*pace);
-    }
-}
-
-/// How the daemons share a workspace's rate.
-#[must_use]
-pub fn spread(daemon: &Daemon, now: Now, workspace: &id::Workspace) -> limit::Spread {
-    let mut others = limit::Demand::default();
-    let (mut members, mut heard) = (daemon.members.len().max(1), 1);
-    for (name, peer) in &daemon.gossip.peers {
-        let age = now.since(peer.heard);
-        if age >= period(daemon) * FORGOTTEN_ROUNDS || !daemon.gossip.counts(name) {
-            continue;
-        }
-        heard += 1;
-        // A daemon that the store turns away serves on a loan, though it is no longer listed.
-        members += usize::from(!daemon.members.contains_key(name));
-        add(&mut others, &peer.digest.demands, workspace, age);
-    }
-    for cell in daemon.gossip.cells(now) {
-        heard += usize::try_from(cell.summary.heard).unwrap_or(usize::MAX);
-        add(&mut others, &cell.summary.demands, workspace, now.since(cell.summed));
-    }
-    limit::Spread { members, heard, others }
-}
-
 /// The daemons that were listed or heard of late, this one not counted, and how many of them are
 /// heard.
 #[must_use]
@@ -474,12 +325,6 @@
     }
 }
 
-/// Whether this daemon had a lease that it may not be able to renew.
-fn needs_loan(daemon: &Daemon, now: Now) -> bool {
-    let left = daemon.lease.until().saturating_sub(now.mono);
-    daemon.lease.record.incarnation != 0 && daemon.lease.revision != 0 && left < NEED
-}
-
 /// What this daemon believes, for any receiver.
 fn digest(daemon: &mut Daemon, now: Now) -> Digest {
     let demands = daemon.limit.demands(now.mono, &daemon.settings.bounds);
@@ -603,18 +448,6 @@
     }
 }
 
-/// Answers a daemon that asks for a loan, if there is one for it. Two that both ask would else answer
-/// each other without end.
-fn lend(daemon: &mut Daemon, now: Now, fx: &mut Effects, to: &id::Daemon) {
-    let able = daemon.lease.holds(now.mono) && !daemon.lease.overdue(now.mono);
-    let peer = daemon.gossip.peers.entry(to.clone()).or_default();
-    if able && now.since(peer.answered) >= HURRY {
-        peer.answered = now.mono;
-        let answer = digest(daemon, now);
-        tell(daemon, now, fx, to, answer);
-    }
-}
-
 /// Takes the sum of another cell, from its delegate or passed on by a daemon of the own cell.
 fn on_summary(daemon: &mut Daemon, now: Now, from: &id::Daemon, summary: &Summary) {
     let summed = now.mono.saturating_sub(summary.age);
@@ -643,24 +476,3 @@
         }
     }
 }
-
-/// Takes a loan of a peer's right.
-fn borrow(
-    daemon: &mut Daemon,
-    now: Now,
-    fx: &mut Effects,
-    from: &id::Daemon,
-    loan: Duration,
-    echo: Echo,
-) {
-    // No lender promises more, and nothing was sent to it after now.
-    let until = (echo.sent.min(now.mono) + loan.min(LOAN)).saturating_sub(MARGIN);
-    if until <= now.mono || until <= daemon.gossip.loan_until {
-        return;
-    }
-    if !right::holds(daemon, now) {
-        let line = Line::belief("right borrowed").with("lender", from);
-        fx.log(line.millis("left", until.saturating_sub(now.mono)));
-    }
-    daemon.gossip.loan_until = until;
-}
--- a/crates/gcl-direct/src/guest.rs
+++ b/crates/gcl-direct/src/guest.rs
@@ -25,7 +25,7 @@
 /// Marks the ids of guests, which the shell's own count never reaches.
 const GUEST_BIT: u64 = 1 << 63;
 /// Longest time that a statement may be given; a route that says more was changed on its way.
-const MOST_TIME: Duration = Duration::from_secs(3600);
+const MOST_TIME: Duration = Duration::from_hours(1);
 /// Largest answer that is passed to an entry, in bytes of rows.
 const MOST_ANSWER_BYTES: usize = 8 << 20;
 
--- a/crates/gcl-direct/src/pool.rs
+++ b/crates/gcl-direct/src/pool/mod.rs
@@ -5,18 +5,26 @@
 //! closed as soon as it has rested for a moment. A connection carries one workspace, so where a workspace has none, an
 //! idle one of another workspace makes room.
 
+mod health;
+mod share;
+
+pub use self::{
+    health::Health,
+    share::{Share, share, share_with_homes},
+};
+
+use self::share::{most_opening, most_running, share_of};
 use crate::{
     backend::{Call, Command, Refusal},
     connection::{Connection, Phase, Step, Values},
     effect::Effects,
-    home,
     line::Line,
     queue::{self, Waiter},
     request,
     state::State as Daemon,
     timer,
 };
-use gcl_core::{id, mark::Mark, rendezvous, time::Now};
+use gcl_core::{id, mark::Mark, time::Now};
 use indexmap::IndexSet;
 use std::time::Duration;
 
@@ -26,12 +34,6 @@
 const FAILED_PAUSE: Duration = Duration::from_millis(250);
 /// Most times that pause, as failures add up.
 const MOST_PAUSES: u32 = 4;
-/// Most connections to a server that one daemon opens at the same time.
-const MOST_OPENING: usize = 3;
-/// Connections to a server that the daemons together open at the same time, for each of its slots.
-/// Opening one takes a slot for a moment, and a fleet that starts again would else keep its servers
-/// busy with connections that are given up before they are open.
-const OPENING_PER_SLOT: usize = 12;
 /// How long a connection beyond the share may rest.
 const SURPLUS_REST: Duration = Duration::from_millis(300);
 /// What a statement is taken to need before any was measured.
@@ -40,27 +42,6 @@
 const LATENCY_WEIGHT: u32 = 8;
 /// Shortest time between two questions for a server's log position.
 const ASK_PAUSE: Duration = Duration::from_millis(120);
-/// Most shares that one daemon may hold.
-const MOST_SHARES: usize = 4;
-/// Part of a server's connections that is shared out, in percent. The rest is for daemons that need
-/// more for a moment, and for a fleet that starts again while the server still holds the connections
-/// of its earlier life.
-const SHARED_PERCENT: usize = 50;
-/// Part of a server's connections that its home keeps, in percent.
-const HOME_PERCENT: usize = 88;
-
-/// What this daemon knows of the way to a server.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Health {
-    /// Since when nothing has succeeded, if the last thing failed.
-    pub failing: Option<Duration>,
-    /// Failures since then.
-    pub failures: u32,
-    /// When something last succeeded.
-    pub succeeded: Duration,
-    /// Whether the server's host itself said so when something last failed.
-    pub refused: bool,
-}
 
 /// The connections to one server.
 #[derive(Clone, Debug)]
@@ -139,68 +120,6 @@
     (old * (LATENCY_WEIGHT - 1) + new) / LATENCY_WEIGHT
 }
 
-/// Connections to a server that a daemon may hold.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Share {
-    /// Those that it may keep while nobody uses them.
-    pub kept: usize,
-    /// Those that it may have open at any time.
-    pub most: usize,
-}
-
-/// The share of the daemon of a `rank` among `members`.
-///
-/// What does not divide evenly goes to the first ranks. Every daemon may keep one, unless there are
-/// more daemons than connections: then most of them open one for a statement and close it after
-/// that, since a server that is asked for more than it has resets what others use.
-#[must_use]
-pub fn share(connections: usize, members: usize, rank: usize) -> Share {
-    let shared = connections * SHARED_PERCENT / 100;
-    let members = members.max(1);
-    let kept = shared / members + usize::from(rank < shared % members);
-    if members > connections {
-        return Share { kept, most: 1 };
-    }
-    let kept = kept.max(1);
-    Share { kept, most: kept * MOST_SHARES }
-}
-
-/// The share of a daemon where servers have homes: the home keeps most of the connections, and the
-/// rest is a reserve for daemons that do without it.
-#[must_use]
-pub fn share_with_homes(connections: usize, members: usize, is_home: bool) -> Share {
-    let kept = connections * HOME_PERCENT / 100;
-    let reserve = (connections - kept) / members.max(1);
-    if is_home {
-        return Share { kept: kept.max(1), most: (connections - reserve).max(1) };
-    }
-    Share { kept: 0, most: reserve.max(1) }
-}
-
-/// Statements of this daemon that a server is sent at the same time, no limit without homes.
-fn most_running(daemon: &Daemon, server: &str) -> usize {
-    match daemon.directory.get(server) {
-        Some(entry) if home::carries(daemon, server) => queue::depth(entry.slots),
-        _ => usize::MAX,
-    }
-}
-
-/// The share of this daemon for a server.
-fn share_of(daemon: &Daemon, server: &str) -> Share {
-    let database = daemon.directory.get(server).map(|entry| &entry.database);
-    let config = daemon.config.as_ref();
-    let Some(known) = database.and_then(|database| config?.databases.get(database)) else {
-        return share(1, 1, 0);
-    };
-    if home::in_use(daemon) {
-        let is_home = home::carries(daemon, server);
-        return share_with_homes(known.connections, daemon.members.len(), is_home);
-    }
-    let own = rendezvous::weight(server, &daemon.settings.daemon);
-    let before = daemon.members.keys().filter(|name| rendezvous::weight(server, name) > own);
-    share(known.connections, daemon.members.len(), before.count())
-}
-
 /// Queues a session's statement for a connection to a server.
 pub fn enqueue(
     daemon: &mut Daemon,
@@ -307,15 +226,6 @@
     idle.max_by_key(fits).copied()
 }
 
-/// Connections to a server that this daemon may open at the same time.
-fn most_opening(daemon: &Daemon, server: &str) -> usize {
-    let slots = daemon.directory.get(server).map_or(1, |entry| entry.slots);
-    if home::carries(daemon, server) {
-        return slots.max(1);
-    }
-    (slots * OPENING_PER_SLOT / daemon.members.len().max(1)).clamp(1, MOST_OPENING)
-}
-
 /// How long a statement that comes now waits for a connection to a server.
 #[must_use]
 pub fn expected_wait(daemon: &Daemon, server: &str, workspace: &str) -> Duration {
--- a/crates/gcl-direct/src/session.rs
+++ b/crates/gcl-direct/src/session/mod.rs
@@ -4,9 +4,19 @@
 //! when a statement runs there. A transaction opens at a server with its first statement, so that
 //! callers who rest after `BEGIN` hold no connection.
 
+mod key;
+mod transaction;
+
+pub use self::{
+    key::{admit_key, end_withdrawn, on_config},
+    transaction::{Open, Transaction},
+};
+
+use self::key::login;
+
 use crate::{
     caller::{Event, Reply},
-    config::{Config, Route},
+    config::Route,
     connection::Values,
     drain,
     effect::Effects,
@@ -22,8 +32,7 @@
 };
 use compact_str::CompactString;
 use gcl_core::{
-    batch::Status,
-    code::{Code, Fault, Result},
+    code::{Code, Fault},
     id,
     mark::Mark,
     time::Now,
@@ -38,71 +47,6 @@
 /// When to come back to a daemon that stops; the balancer takes the caller to another one.
 const DRAINING_RETRY: Duration = Duration::from_millis(100);
 
-/// An open transaction.
-#[expect(clippy::struct_excessive_bools, reason = "each is a fact of its own")]
-#[derive(Clone, Debug)]
-pub struct Open {
-    /// Whether it only reads.
-    pub read_only: bool,
-    /// The route it began on.
-    pub route: Arc<Route>,
-    /// When its first statement came.
-    pub began: Duration,
-    /// The connection that it runs on, once it has run something.
-    pub connection: Option<id::Connection>,
-    /// Whether a write was sent.
-    pub wrote: bool,
-    /// Whether its connection was chosen as the primary.
-    pub on_primary: bool,
-    /// The host that it runs at, once that has run something.
-    pub host: Option<id::Daemon>,
-    /// Whether it was counted in its workspace's rate.
-    pub admitted: bool,
-}
-
-impl Open {
-    /// A transaction that has run nothing yet.
-    #[must_use]
-    pub const fn new(read_only: bool, route: Arc<Route>, began: Duration, admitted: bool) -> Self {
-        Self {
-            read_only,
-            route,
-            began,
-            connection: None,
-            wrote: false,
-            on_primary: false,
-            host: None,
-            admitted,
-        }
-    }
-}
-
-/// The state of a session's transaction.
-#[derive(Clone, Debug, Default)]
-pub enum Transaction {
-    /// None is open.
-    #[default]
-    None,
-    /// One is open.
-    Open(Box<Open>),
-    /// It was rolled back while the caller rested, who does not know that yet.
-    Lost,
-    /// It failed, and waits for the caller to end it.
-    Failed,
-}
-
-impl Transaction {
-    /// The state as callers see it.
-    #[must_use]
-    pub const fn status(&self) -> Status {
-        match self {
-            Self::None => Status::Idle,
-            Self::Open(_) => Status::Open,
-            Self::Lost | Self::Failed => Status::Failed,
-        }
-    }
-}
-
 /// A caller's session.
 #[derive(Clone, Debug, Default)]
 pub struct Session {
@@ -174,55 +118,6 @@
     }
 }
 
-fn login(
-    daemon: &mut Daemon,
-    now: Now,
-    fx: &mut Effects,
-    session: id::Session,
-    service: id::Service,
-    key: CompactString,
-) {
-    if daemon.sessions.contains_key(&session) {
-        let fault = Fault::new(Code::Protocol, "a session logs in once");
-        return refuse_and_close(daemon, now, fx, session, fault);
-    }
-    if !drain::admits(daemon, now) {
-        let fault = Fault::new(Code::Draining, "the daemon stops").retry_after(DRAINING_RETRY);
-        return refuse_and_close(daemon, now, fx, session, fault);
-    }
-    match admit_key(daemon.config.as_deref(), &service, &key) {
-        Ok(workspace) => {
-            let entry = Session { service, key, workspace, ..Session::default() };
-            fx.reply(session, vec![entry.ready()]);
-            daemon.sessions.insert(session, entry);
-        }
-        Err(fault) => {
-            let version = daemon.config.as_ref().map_or(0, |config| config.version);
-            let line = Line::failure("login refused").with("session", session);
-            fx.log(line.with("service", &service).with("version", version).with("fault", &fault));
-            refuse_and_close(daemon, now, fx, session, fault);
-        }
-    }
-}
-
-/// The workspace that a key opens at a service, empty on a public route.
-///
-/// # Errors
-/// The service has no route, or the key opens nothing.
-pub fn admit_key(config: Option<&Config>, service: &str, key: &str) -> Result<id::Workspace> {
-    let Some(config) = config else {
-        let fault = Fault::new(Code::StaleConfiguration, "no configuration was read yet");
-        return Err(fault.retry_after(NO_CONFIG_RETRY));
-    };
-    let route = config.routes.get(service);
-    let route = route.ok_or_else(|| Fault::new(Code::UnknownService, "no route has this name"))?;
-    if route.public {
-        return Ok(id::Workspace::default());
-    }
-    let workspace = config.keys.get(key).cloned();
-    workspace.ok_or_else(|| Fault::new(Code::WrongKey, "no workspace has this key"))
-}
-
 fn refuse_and_close(
     daemon: &mut Daemon,
     now: Now,
@@ -307,29 +202,6 @@
     }
 }
 
-/// Ends a session whose key was withdrawn, and rolls back its transaction.
-pub fn end_withdrawn(
-    daemon: &mut Daemon,
-    now: Now,
-    fx: &mut Effects,
-    session: id::Session,
-    query: Option<&Query>,
-) {
-    let version = daemon.config.as_ref().map_or(0, |config| config.version);
-    let line = Line::belief("session ended: key withdrawn").with("session", session);
-    let line = line.with("version", version);
-    fx.count("gcl_key_withdrawn", "");
-    if let Some(query) = query {
-        fx.log(line.with("request", &query.id));
-        let fault = Fault::new(Code::KeyWithdrawn, "the key was withdrawn");
-        refuse_and_close(daemon, now, fx, session, fault);
-    } else {
-        fx.log(line);
-        fx.hang_up(session);
-        forget(daemon, now, fx, session);
-    }
-}
-
 /// A statement after the transaction failed: only its end is accepted.
 fn on_failed(daemon: &mut Daemon, now: Now, fx: &mut Effects, session: id::Session, query: &Query) {
     let Some(entry) = daemon.sessions.get_mut(&session) else {
@@ -590,19 +462,3 @@
         end_transaction(daemon, now, fx, session, Transaction::Lost);
     }
 }
-
-/// Ends the sessions whose key a new configuration no longer has. Those with a statement or a
-/// transaction under way are told with their next statement.
-pub fn on_config(daemon: &mut Daemon, now: Now, fx: &mut Effects) {
-    let config = daemon.config.clone();
-    let withdrawn = daemon.sessions.iter().filter(|(_, entry)| {
-        let admitted = admit_key(config.as_deref(), &entry.service, &entry.key);
-        entry.is_idle()
-            && entry.guest.is_none()
-            && admitted.is_err_and(|fault| fault.code == Code::WrongKey)
-    });
-    let withdrawn: Vec<_> = withdrawn.map(|(name, _)| *name).collect();
-    for session in withdrawn {
-        end_withdrawn(daemon, now, fx, session, None);
-    }
-}
--- a/crates/gcl-direct/tests/direct/malformed.rs
+++ b/crates/gcl-direct/tests/direct/malformed.rs
@@ -96,7 +96,7 @@
     #[test]
     fn a_changed_question_takes_no_host_down(changes in changes(), which in 0..3) {
         let known = news::Known { config: 1, sites: 2, hosts: 3 };
-        let asked = Duration::from_millis(2000);
+        let asked = Duration::from_secs(2);
         let ask = match which {
             0 => run(),
             1 => Ask::News(known),
@@ -113,7 +113,7 @@
     #[test]
     fn a_changed_answer_takes_no_entry_down(changes in changes()) {
         let newest = Some((Mark::new(1, 100), Duration::from_millis(20)));
-        let asked = Duration::from_millis(2000);
+        let asked = Duration::from_secs(2);
         let tell = Tell::Position(Position { database: DATABASE.into(), asked, newest });
         let bytes = change(encoded(&tell), &changes);
         if let Ok(tell) = postcard::from_bytes::<Tell>(&bytes) {
