feat(daemon): one versioned form for all messages between daemons

Digests and stream frames are encoded in one place, with a version and a bound; a datagram that cannot be read is logged as a stream's message is. No behaviour of a fleet of one release changes.

--- a/crates/gcl-daemon/src/direct/link.rs
+++ b/crates/gcl-daemon/src/direct/link.rs
@@ -1,18 +1,19 @@
-//! Streams between daemons: frames of [`VERSION`] and a message, each behind its length.
+//! Streams between daemons: frames, each behind its length.
 //!
 //! A frame that cannot be read is counted, logged and left aside; the stream goes on.
 
 use super::{
     backend::configure,
+    frame,
     shell::{Shell, Streamed, Unread},
 };
 use actix::Addr;
-use bytes::{BufMut, Bytes, BytesMut};
+use bytes::Bytes;
 use compact_str::{CompactString, format_compact};
 use futures::{SinkExt, StreamExt};
 use gcl_core::id;
 use gcl_direct::link::{Ask, Event, Id, Tell};
-use serde::{Serialize, de::DeserializeOwned};
+use serde::Serialize;
 use std::{io, net::SocketAddr, time::Duration};
 use tokio::{
     net::{TcpListener, TcpStream},
@@ -21,8 +22,6 @@
 };
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
-/// The version of the messages. A frame of another version is left aside.
-const VERSION: u8 = 1;
 /// Largest frame in bytes: the largest answer that a host passes on, and its surroundings.
 const MOST_BYTES: usize = 10 << 20;
 /// First size of a stream's buffers in bytes.
@@ -39,30 +38,6 @@
 /// Tells one stream to a host from its successor.
 pub type Serial = u64;
 
-/// Why a frame cannot be read.
-type Result<T> = std::result::Result<T, CompactString>;
-
-fn encode(message: &impl Serialize) -> Result<Bytes> {
-    let mut frame = BytesMut::with_capacity(BUFFER_BYTES);
-    frame.put_u8(VERSION);
-    let body = postcard::to_allocvec(message).map_err(|error| format_compact!("{error}"))?;
-    frame.put_slice(&body);
-    if frame.len() > MOST_BYTES {
-        return Err(format_compact!("a message of {} bytes is too large", frame.len()));
-    }
-    Ok(frame.freeze())
-}
-
-fn decode<T: DeserializeOwned>(frame: &[u8]) -> Result<T> {
-    match frame.split_first() {
-        Some((&VERSION, body)) => {
-            postcard::from_bytes(body).map_err(|error| format_compact!("{error}"))
-        }
-        Some((version, _)) => Err(format_compact!("version {version} is not known")),
-        None => Err("an empty frame".into()),
-    }
-}
-
 fn framed(stream: TcpStream) -> io::Result<Stream> {
     configure(&stream)?;
     let codec = LengthDelimitedCodec::builder().max_frame_length(MOST_BYTES).new_codec();
@@ -81,7 +56,7 @@
 ) {
     let opened = match open(&address).await {
         Ok(stream) => {
-            let told = |frame: &[u8]| match decode::<Tell>(frame) {
+            let told = |bytes: &[u8]| match frame::decode::<Tell>(bytes) {
                 Ok(tell) => shell.do_send(Streamed {
                     serial: Some(serial),
                     event: Event::Told(host.clone(), tell),
@@ -140,7 +115,7 @@
     shell: Addr<Shell>,
 ) {
     if let Ok(stream) = framed(stream) {
-        let asked = |frame: &[u8]| match decode::<Ask>(frame) {
+        let asked = |bytes: &[u8]| match frame::decode::<Ask>(bytes) {
             Ok(ask) => shell.do_send(Streamed { serial: None, event: Event::Asked(link, ask) }),
             Err(detail) => shell.do_send(Unread(detail)),
         };
@@ -184,7 +159,7 @@
 ) -> io::Result<()> {
     let mut next = Some(first);
     while let Some(order) = next {
-        match encode(&order) {
+        match frame::encode(&order, MOST_BYTES) {
             Ok(frame) => stream.feed(frame).await?,
             Err(detail) => shell.do_send(Unread(detail)),
         }
--- a/crates/gcl-daemon/src/direct/mod.rs
+++ b/crates/gcl-daemon/src/direct/mod.rs
@@ -6,6 +6,7 @@
 mod backend;
 mod caller;
 mod clock;
+mod frame;
 mod journal;
 mod link;
 mod peer;
--- a/crates/gcl-daemon/src/direct/peer.rs
+++ b/crates/gcl-daemon/src/direct/peer.rs
@@ -1,6 +1,9 @@
 //! Datagrams between daemons.
 
-use super::shell::{Happened, Shell};
+use super::{
+    frame,
+    shell::{Happened, Shell, Unread},
+};
 use actix::Addr;
 use eyre::WrapErr;
 use gcl_direct::{event::Event, gossip::Digest};
@@ -32,7 +35,7 @@
 
     /// Sends a digest; one that cannot be sent now is made up by the next.
     pub fn tell(&self, address: &str, digest: &Digest) {
-        let encoded = postcard::to_allocvec(digest).ok().filter(|it| it.len() <= MOST_BYTES);
+        let encoded = frame::encode(digest, MOST_BYTES).ok();
         let address = address.parse::<SocketAddr>().ok();
         let sent = encoded.zip(address).map(|(bytes, to)| self.socket.try_send_to(&bytes, to));
         if !matches!(sent, Some(Ok(_))) {
@@ -51,9 +54,9 @@
                 sleep(FAILURE_PAUSE).await;
                 continue;
             };
-            match postcard::from_bytes::<Digest>(&buffer[..size]) {
+            match frame::decode::<Digest>(&buffer[..size]) {
                 Ok(digest) => shell.do_send(Happened(Event::Peer(Box::new(digest)))),
-                Err(_malformed) => metrics::counter!("gcl_digests_malformed").increment(1),
+                Err(detail) => shell.do_send(Unread(detail)),
             }
         }
     });
--- a/crates/gcl-daemon/src/direct/shell.rs
+++ b/crates/gcl-daemon/src/direct/shell.rs
@@ -17,7 +17,7 @@
     effect::Effect,
     event::Event,
     line::Line,
-    link::{Ask, Tell},
+    link::{Ask, Call as Stream, Event as Link, Id, Tell},
     reduce::reduce,
     state::State,
     store,
@@ -60,7 +60,7 @@
     /// The stream to a host.
     pub serial: Option<link::Serial>,
     /// What happened.
-    pub event: gcl_direct::link::Event,
+    pub event: Link,
 }
 
 /// A message of another daemon that could not be read or written.
@@ -107,7 +107,7 @@
     callers: IndexMap<id::Session, UnboundedSender<caller::Effect>>,
     backends: IndexMap<id::Connection, UnboundedSender<Call>>,
     hosts: IndexMap<id::Daemon, (link::Serial, UnboundedSender<Ask>)>,
-    guests: IndexMap<gcl_direct::link::Id, UnboundedSender<Tell>>,
+    guests: IndexMap<Id, UnboundedSender<Tell>>,
     dialed: link::Serial,
     wake: Option<(Duration, SpawnHandle)>,
     exit: Option<oneshot::Sender<()>>,
@@ -212,22 +212,21 @@
         }
     }
 
-    fn call_link(&mut self, ctx: &mut Context<Self>, call: gcl_direct::link::Call) {
-        use gcl_direct::link::Call;
+    fn call_link(&mut self, ctx: &mut Context<Self>, call: Stream) {
         match call {
-            Call::Ask { host, address, ask } => {
+            Stream::Ask { host, address, ask } => {
                 let known = self.links.hosts.get(&host).map(|(_, asks)| asks.clone());
                 let asks = known.unwrap_or_else(|| self.dial(ctx, host, address));
                 // The end of a stream is reported by its own event.
                 let _ = asks.send(ask);
             }
-            Call::Tell(link, tell) => {
+            Stream::Tell(link, tell) => {
                 if let Some(tells) = self.links.guests.get(&link) {
                     // As above.
                     let _ = tells.send(tell);
                 }
             }
-            Call::Close(host) => {
+            Stream::Close(host) => {
                 self.links.hosts.swap_remove(&host);
             }
         }
@@ -319,7 +318,6 @@
     type Result = ();
 
     fn handle(&mut self, msg: Streamed, ctx: &mut Self::Context) {
-        use gcl_direct::link::Event as Link;
         match &msg.event {
             Link::Told(host, _) | Link::Down { host, .. } => {
                 let current = self.links.hosts.get(host).map(|(serial, _)| *serial);
