refactor(request): a read without a known position is a case of its own

Cause: a position that no server reaches stood for "none is known", and was filtered out again a few lines later. Change: needs() gives a case for it; no behaviour changes. Tests of gcl-direct: 119 passed before and after, unchanged.

--- a/crates/gcl-direct/src/feed.rs
+++ b/crates/gcl-direct/src/feed.rs
@@ -8,8 +8,8 @@
 use crate::{
     effect::Effects,
     group::Leader,
-    home, link,
-    link::{Ask, Call, Position, Tell},
+    home,
+    link::{self, Ask, Call, Position, Tell},
     pool, right,
     state::State as Daemon,
     timer,
--- a/crates/gcl-direct/src/request/attempt.rs
+++ b/crates/gcl-direct/src/request/attempt.rs
@@ -30,13 +30,20 @@
 const MOST_TRIES: u32 = 6;
 /// Time before a statement is tried again where nothing else has changed.
 const RETRY: Duration = Duration::from_millis(40);
-/// A log position that no server has reached, for a read while none is known that is recent enough.
-const UNKNOWN: Mark = Mark::new(id::Term::MAX, id::Position::MAX);
 /// Time before a statement looks for a primary again, unless one appears before that.
 const PRIMARY_RETRY: Duration = Duration::from_millis(250);
 
-/// What a statement that has no connection needs of a server: the server, and the position.
-fn needs(daemon: &mut Daemon, now: Now, session: id::Session) -> Option<(Need, Option<Mark>)> {
+/// What a statement that has no connection needs of a server.
+enum Wanted {
+    /// The primary.
+    Primary,
+    /// Any server that has reached this log position.
+    Position(Mark),
+    /// A log position that the primary's region has to tell first.
+    Unknown,
+}
+
+fn needs(daemon: &mut Daemon, now: Now, session: id::Session) -> Option<Wanted> {
     let entry = daemon.sessions.get(&session)?;
     let request = entry.request.as_ref()?;
     let began = match &entry.transaction {
@@ -45,7 +52,7 @@
     };
     let age = request.route.freshness.max_age().filter(|_| !entry.writes(request));
     let Some(age) = age else {
-        return Some((Need::Primary, None));
+        return Some(Wanted::Primary);
     };
     let group = daemon.groups.get(&request.route.database);
     let database = request.route.database.clone();
@@ -59,9 +66,9 @@
         feed::want(daemon, now, &database);
     }
     Some(match seen {
-        Some(seen) => (Need::Recent, Some(floor.map_or(seen, |floor| floor.max(seen)))),
-        None if far => (Need::Recent, Some(UNKNOWN)),
-        None => (Need::Primary, None),
+        Some(seen) => Wanted::Position(floor.map_or(seen, |floor| floor.max(seen))),
+        None if far => Wanted::Unknown,
+        None => Wanted::Primary,
     })
 }
 
@@ -109,16 +116,19 @@
 
 /// Looks for a server that this daemon sends a statement to itself.
 fn attempt_here(daemon: &mut Daemon, now: Now, fx: &mut Effects, session: id::Session) {
-    let Some((need, after)) = needs(daemon, now, session) else {
+    let Some(wanted) = needs(daemon, now, session) else {
         return;
     };
-    let Some(request) = daemon.sessions.get_mut(&session).and_then(|entry| entry.request.as_mut())
-    else {
+    let (need, after) = match wanted {
+        Wanted::Primary => (Need::Primary, None),
+        Wanted::Position(mark) => (Need::Recent, Some(mark)),
+        Wanted::Unknown => (Need::Recent, None),
+    };
+    let Some(request) = super::of(daemon, session) else {
         return;
     };
-    let unknown = after == Some(UNKNOWN);
-    (request.need, request.after) = (need, after.filter(|_| !unknown));
-    if unknown {
+    (request.need, request.after) = (need, after);
+    if matches!(wanted, Wanted::Unknown) {
         let fault = Fault::new(Code::NoReplica, "no recent position of the primary is known");
         return elsewhere(daemon, now, fx, session, fault.retry_after(BUSY_RETRY));
     }
