fix(member): a daemon that is no host does not ask for a lease when the list cannot be read

Cause: a failed reading of the daemons' keys armed the lease's timer whoever had read them. A daemon that started while the store was away therefore listed itself and became a host where none lacked. The same accident hid that a failed second reading of an entry was never repeated.

Ruled out: the wait for a vacancy (no vacancy was there).

Change: only a host goes on to its lease after such a reading; others read again after the usual pause.

Before: home::an_entry_that_starts_while_the_store_is_away_is_not_listed_as_a_host found a host. After: an entry; 120 tests of gcl-direct pass.

--- a/crates/gcl-direct/src/follow.rs
+++ b/crates/gcl-direct/src/follow.rs
@@ -219,9 +219,9 @@
     let first = !known.read;
     known.failures += 1;
     let failures = known.failures.min(MOST_RETRIES);
-    let patient = daemon.role.current == Role::Host && home::in_use(daemon);
-    let pauses = if patient { failures } else { 1 };
-    if !whole || first {
+    let is_host = daemon.role.current == Role::Host;
+    let pauses = if is_host && home::in_use(daemon) { failures } else { 1 };
+    if !whole || first || !is_host {
         let pause = daemon.random.jitter(RETRY * pauses);
         daemon.timers.arm(timer::Key::Store(topic), now.mono + pause);
     }
--- a/crates/gcl-direct/src/member.rs
+++ b/crates/gcl-direct/src/member.rs
@@ -135,6 +135,10 @@
 ///
 /// Intentions that were written before this daemon's key are only then certainly known.
 pub fn on_read(daemon: &mut Daemon, now: Now, fx: &mut Effects, result: Result<id::Revision>) {
+    // Others read the list of hosts, and have no key.
+    if daemon.role.current != Role::Host {
+        return;
+    }
     let Ok(revision) = result else {
         return arm(daemon, now, RETRY);
     };
--- a/crates/gcl-direct/tests/direct/home.rs
+++ b/crates/gcl-direct/tests/direct/home.rs
@@ -454,3 +454,17 @@
     let reads = world.calls.get("read").copied().unwrap_or(0);
     assert!(reads <= 2, "{reads} read the list within 300 ms");
 }
+
+/// The hosts are complete; the store is away for a second while a daemon starts.
+#[test]
+fn an_entry_that_starts_while_the_store_is_away_is_not_listed_as_a_host() {
+    let mut world = fleet();
+    let at = entry(&world, "alpha");
+    world.kill(at);
+    world.outage(None, true);
+    world.boot(at);
+    world.run(1000);
+    world.outage(None, false);
+    world.run(4000);
+    assert_eq!(world.nodes[at].state.role.current, Role::Entry);
+}
