feat(direct): a store that comes back from a copy breaks no promise

Cause: everything was ordered by the store's bare revision. After a return from a copy revisions are given out again: a promotion could repeat or lower a fencing token, a new configuration be taken for an old one and ignored, a lease number belong to another daemon, and a move of a primary that the copy lacks be undone.

Change: module era places every revision in its era; the reducer's order only rises. Answers carry their era, late ones count as lost, watches of an earlier era are not gone on with. Daemons use an old lease until it would have run out, and movers wait for that. Intentions carry their place in the order, are written again where the copy lacks them, and are begun anew where they were not carried out. Lapsed, draining and gone servers stay what they were until they write again.

--- a/crates/gcl-daemon/src/direct/shell.rs
+++ b/crates/gcl-daemon/src/direct/shell.rs
@@ -250,8 +250,8 @@
         let (client, shell) = (self.store.clone(), ctx.address());
         metrics::counter!("gcl_store_calls", "name" => call.name()).increment(1);
         actix_rt::spawn(async move {
-            if let Some(event) = client.call(call).await {
-                shell.do_send(Happened(Event::Store(event)));
+            if let Some(answer) = client.call(call).await {
+                shell.do_send(Happened(Event::Store(answer)));
             }
         });
     }
--- a/crates/gcl-direct/src/event.rs
+++ b/crates/gcl-direct/src/event.rs
@@ -13,7 +13,7 @@
     /// Something happened on a connection to a backend server.
     Backend(id::Connection, backend::Event),
     /// Something came from the store.
-    Store(store::Event),
+    Store(store::Answer),
     /// The platform answered an order to promote a server.
     Promoted {
         /// The database.
--- a/crates/gcl-direct/src/failover/attempt.rs
+++ b/crates/gcl-direct/src/failover/attempt.rs
@@ -3,6 +3,7 @@
 use super::watch_of;
 use crate::{
     effect::{Effect, Effects},
+    era,
     failover::evidence::Cause,
     gossip,
     group::{self, Leader},
@@ -43,13 +44,22 @@
     revoked: Option<Duration>,
     released: Option<Duration>,
     ordered: Option<Duration>,
+    accepted: bool,
     orders: u32,
 }
 
 impl Attempt {
     /// A move whose intention is written.
     pub(super) const fn new(revision: id::Revision, since: Duration) -> Self {
-        Self { revision, since, revoked: None, released: None, ordered: None, orders: 0 }
+        Self {
+            revision,
+            since,
+            revoked: None,
+            released: None,
+            ordered: None,
+            accepted: false,
+            orders: 0,
+        }
     }
 }
 
@@ -83,7 +93,12 @@
     }
     daemon.timers.arm_by(timer::Key::Failover(database.clone()), now.mono + STEP);
     let listed = daemon.follow.own_revision() >= attempt.revision;
-    if !listed || !daemon.lease.holds(now.mono) || now.since(attempt.since) > MOST_AGE {
+    // Daemons that are not listed in a new era may still use the old primary.
+    if !listed
+        || !era::is_settled(daemon, now)
+        || !daemon.lease.holds(now.mono)
+        || now.since(attempt.since) > MOST_AGE
+    {
         return;
     }
     let waiting = still_using(daemon, database, attempt.revision);
@@ -175,6 +190,10 @@
     if attempt.ordered.is_some_and(|at| now.since(at) < PROMOTE_PATIENCE) {
         return;
     }
+    let leads = daemon.directory.get(&to).is_some_and(|entry| entry.leads);
+    if attempt.accepted && leads {
+        return on_confirmed(daemon, now, database, &to);
+    }
     if attempt.orders >= MOST_ORDERS {
         let line = Line::belief("promotion without effect").with("database", database);
         fx.log(line.with("to", &to).with("orders", attempt.orders));
@@ -189,6 +208,19 @@
     fx.push(Effect::Promote { database: database.clone(), server: to, fence: attempt.revision });
 }
 
+/// Takes note that a server that registered itself as primary before its promotion was ordered leads:
+/// a promotion that was due would have taken effect by now.
+fn on_confirmed(daemon: &mut Daemon, now: Now, database: &id::Database, to: &id::Server) {
+    let Some(group) = daemon.groups.get_mut(database) else {
+        return;
+    };
+    let moved = group.moved.as_ref().filter(|moved| moved.intention.to == *to);
+    if let Some(revision) = moved.map(|moved| moved.revision) {
+        group.done = revision;
+        gossip::nudge(daemon, now);
+    }
+}
+
 /// Takes the platform's answer to an order to promote.
 pub fn on_promoted(
     daemon: &mut Daemon,
@@ -198,6 +230,9 @@
     result: std::result::Result<(), Fault>,
 ) {
     let Err(fault) = result else {
+        if let Some(attempt) = attempt_of(daemon, database) {
+            attempt.accepted = true;
+        }
         return fx.log(Line::belief("promotion accepted").with("database", database));
     };
     let line = Line::belief("promotion failed").with("database", database);
--- a/crates/gcl-direct/src/failover/mod.rs
+++ b/crates/gcl-direct/src/failover/mod.rs
@@ -17,10 +17,11 @@
 
 use self::attempt::{Attempt, advance};
 use crate::{
-    directory,
+    directory::{self, Entry},
     effect::Effects,
+    era,
     gossip::{self, Known},
-    group::{self, Intention, Leader},
+    group::{self, Intention, Leader, Move},
     lease::Release,
     line::Line,
     member,
@@ -92,6 +93,7 @@
 /// Looks at a database's primary, and does what is due for it.
 pub fn review(daemon: &mut Daemon, now: Now, fx: &mut Effects, database: &id::Database) {
     note_leader(daemon, now, database);
+    restate(daemon, now, fx, database);
     release_old(daemon, now, fx, database);
     advance(daemon, now, fx, database);
     let cause = cause(daemon, now, database);
@@ -129,9 +131,14 @@
     let Leader::Known(server) = right::leader(daemon, database) else {
         return;
     };
+    let restored = era::is_restored(daemon, now);
     let Some(group) = daemon.groups.get_mut(database) else {
         return;
     };
+    // It leads until it is moved, whatever a copy of the store says of it later.
+    if let Some(moved) = group.moved.as_ref().filter(|it| restored && it.intention.to == server) {
+        group.done = moved.revision;
+    }
     if group.last.as_ref() != Some(&server) {
         let pool = daemon.pools.entry(server.clone()).or_default();
         pool.on_success(now);
@@ -203,12 +210,21 @@
         return false;
     };
     let age = now.since(moved.seen);
+    if is_former(daemon, moved) {
+        return age >= ORPHAN_PATIENCE;
+    }
     let author = daemon.members.get(&moved.intention.by);
     let orphan = author.is_none_or(|it| it.record.incarnation != moved.intention.incarnation);
     let lost = !daemon.directory.contains_key(&moved.intention.to);
     (orphan || lost) && age >= ORPHAN_PATIENCE || age >= TAKEOVER_PATIENCE
 }
 
+/// Whether a move was begun in an earlier era of the store. It is not ordered any more: its fencing
+/// token may be lower than that of a move by a daemon that does not know of it.
+fn is_former(daemon: &Daemon, moved: &Move) -> bool {
+    era::of(moved.revision) < daemon.era.current
+}
+
 /// Gathers what is known about a primary in doubt, and asks its successors for their positions.
 fn gather(
     daemon: &mut Daemon,
@@ -246,6 +262,8 @@
     };
     match (group::leader(group, &daemon.directory, database), &group.moved) {
         (Leader::Known(server), _) => server,
+        // The target was perhaps never told to take over.
+        (Leader::Moving, Some(moved)) if is_former(daemon, moved) => moved.intention.from.clone(),
         (Leader::Moving, Some(moved)) => moved.intention.to.clone(),
         _ => group.last.clone().unwrap_or_default(),
     }
@@ -254,9 +272,9 @@
 /// Writes the intention to move a primary.
 fn claim(daemon: &mut Daemon, now: Now, fx: &mut Effects, database: &id::Database, cause: Cause) {
     let from = superseded(daemon, database);
-    let moved = daemon.groups.get(database).and_then(|group| group.moved.as_ref());
-    let expected = moved.map_or(0, |moved| moved.revision);
-    let Some(to) = successor(successors(daemon, now, database, &from)) else {
+    let expected = daemon.groups.get(database).map_or(0, |group| group.written);
+    let known = confirmed(daemon, now, database);
+    let Some(to) = known.or_else(|| successor(successors(daemon, now, database, &from))) else {
         let line = Line::belief("no server can take over").with("database", database);
         return fx.log(line.with("from", from).with("cause", format_args!("{cause:?}")));
     };
@@ -271,7 +289,18 @@
         incarnation: daemon.incarnation,
         planned: cause == Cause::Leaving,
     };
-    let value = match serde_json::to_vec(&intention) {
+    let record = group::Record { intention, era: daemon.era.current, order: 0 };
+    write(daemon, fx, database, &record, expected);
+}
+
+fn write(
+    daemon: &mut Daemon,
+    fx: &mut Effects,
+    database: &id::Database,
+    record: &group::Record,
+    expected: id::Revision,
+) {
+    let value = match serde_json::to_vec(record) {
         Ok(value) => Bytes::from(value),
         Err(error) => {
             return fx.log(Line::belief("intention cannot be encoded").with("error", error));
@@ -282,6 +311,62 @@
     fx.store(Call::Write { call, key: group::key(database), expected, value, lease: 0 });
 }
 
+/// Writes an intention again that a copy of the store lacks, in its old place in the order, so that
+/// daemons that start later know of it.
+fn restate(daemon: &mut Daemon, now: Now, fx: &mut Effects, database: &id::Database) {
+    let rank = rank(daemon, database);
+    let Some(group) = daemon.groups.get(database) else {
+        return;
+    };
+    let lacking =
+        group.moved.as_ref().filter(|it| is_former(daemon, it) && group.held < it.revision);
+    let Some(moved) = lacking.filter(|_| daemon.follow.complete()) else {
+        return;
+    };
+    let (intention, order, expected) = (moved.intention.clone(), moved.revision, group.written);
+    let due = daemon.era.restating_at() + RANK_STEP * rank;
+    if now.mono < due || watch_of(daemon, database).call.is_some() {
+        return daemon
+            .timers
+            .arm_by(timer::Key::Failover(database.clone()), due.max(now.mono + STEP));
+    }
+    fx.log(Line::belief("intention written again").with("database", database).with("order", order));
+    let record = group::Record { intention, era: era::of(order), order };
+    write(daemon, fx, database, &record, expected);
+}
+
+/// Forgets what is under way in the store's earlier era.
+pub fn on_era(daemon: &mut Daemon) {
+    for watch in daemon.failover.watches.values_mut() {
+        (watch.call, watch.attempt) = (None, None);
+    }
+}
+
+/// The server that took over by a move that a copy of the store lacks: the only one that registers
+/// itself as primary, once all had the time to do so.
+fn confirmed(daemon: &Daemon, now: Now, database: &id::Database) -> Option<Successor> {
+    let moved = daemon.groups.get(database)?.moved.as_ref()?;
+    if !is_former(daemon, moved) || !era::is_settled(daemon, now) {
+        return None;
+    }
+    let servers = directory::servers(&daemon.directory, database);
+    let mut leaders = servers.filter(|(_, entry)| entry.leads && !entry.draining);
+    let (server, entry) = leaders.next().filter(|_| leaders.next().is_none())?;
+    Some(candidate(daemon, now, server, entry))
+}
+
+fn candidate(daemon: &Daemon, now: Now, server: &id::Server, entry: &Entry) -> Successor {
+    let pool = daemon.pools.get(server);
+    let failed =
+        pool.is_some_and(|pool| now.mono < pool.failed_until || pool.health.failing.is_some());
+    Successor {
+        server: server.clone(),
+        reached: !failed,
+        mark: pool.and_then(|pool| pool.received.max(pool.mark)),
+        distance: daemon.settings.distance(&entry.domain),
+    }
+}
+
 fn successors(
     daemon: &Daemon,
     now: Now,
@@ -291,18 +376,7 @@
     let servers = directory::servers(&daemon.directory, database);
     // A superseded primary that does not know it yet would be taken for the new one at once.
     let able = servers.filter(|(server, entry)| !entry.draining && !entry.leads && *server != from);
-    let candidates = able.map(|(server, entry)| {
-        let pool = daemon.pools.get(server);
-        let failed =
-            pool.is_some_and(|pool| now.mono < pool.failed_until || pool.health.failing.is_some());
-        Successor {
-            server: server.clone(),
-            reached: !failed,
-            mark: pool.and_then(|pool| pool.received.max(pool.mark)),
-            distance: daemon.settings.distance(&entry.domain),
-        }
-    });
-    candidates.collect()
+    able.map(|(server, entry)| candidate(daemon, now, server, entry)).collect()
 }
 
 /// Takes note that a server told its log position when it was asked at `sent`.
@@ -393,6 +467,9 @@
     let group = daemon.groups.entry(known.database.clone()).or_default();
     let revision = group.moved.as_ref().map_or(0, |moved| moved.revision);
     if known.revision > revision {
+        if era::of(known.revision) == daemon.era.current {
+            group.written = group.written.max(known.revision);
+        }
         group.learn(known.intention.clone(), known.revision, now.mono, awaited);
         let line = Line::belief("told of a move").with("database", &known.database);
         let line = line.with("from", &known.intention.from).with("to", &known.intention.to);
--- a/crates/gcl-direct/src/follow.rs
+++ b/crates/gcl-direct/src/follow.rs
@@ -9,15 +9,13 @@
     config::Config,
     directory::Entry,
     effect::Effects,
-    failover,
-    group::{self, Intention},
-    home, lease, limit,
+    era, failover, group, home, lease, limit,
     line::Line,
     member, pool, request, right,
     role::{self, Role},
     session,
     state::{Member, State as Daemon},
-    store::{Call, Contents, Event, Failure, Item, Result, Topic},
+    store::{Answer, Call, Contents, Event, Failure, Item, Result, Topic},
     timer,
 };
 use gcl_core::{code::Fault, id, time::Now};
@@ -44,6 +42,11 @@
 /// How long a lapsed entry is kept after the store was away: servers are back within two seconds.
 const LAPSED_KEPT: Duration = Duration::from_millis(2500);
 
+/// Mean time before a topic is read again, for each daemon that is listed and reads it as well.
+const REREAD_STEP: Duration = Duration::from_millis(2);
+/// Servers that are remembered as gone.
+const MOST_GONE: usize = 256;
+
 /// How long a daemon counts that is no longer listed.
 pub const RECENT: Duration = Duration::from_secs(12);
 
@@ -52,6 +55,8 @@
 struct Progress {
     revision: id::Revision,
     read: bool,
+    /// The revision that is watched from.
+    watched: Option<id::Revision>,
     failing: Option<Duration>,
     /// Calls that failed since then.
     failures: u32,
@@ -69,6 +74,8 @@
     listed: IndexSet<id::Daemon>,
     /// Servers whose entries lapsed, and until when they are kept.
     missing: IndexMap<id::Server, Duration>,
+    /// Servers that are gone, with the start of their last life.
+    gone: IndexMap<id::Server, u64>,
 }
 
 impl State {
@@ -101,24 +108,66 @@
 }
 
 /// Follows every topic, as a host does.
-pub fn start(daemon: &Daemon, fx: &mut Effects) {
+pub fn start(daemon: &mut Daemon, fx: &mut Effects) {
     for topic in Topic::ALL {
         on_timer(daemon, fx, topic);
     }
 }
 
 /// Asks again for a topic whose call failed.
-pub fn on_timer(daemon: &Daemon, fx: &mut Effects, topic: Topic) {
-    let known = daemon.follow.topics.get(&topic).copied().unwrap_or_default();
-    let watches = known.read && daemon.role.current == Role::Host;
-    fx.store(if watches { Call::Watch(topic, known.revision) } else { Call::Read(topic) });
+pub fn on_timer(daemon: &mut Daemon, fx: &mut Effects, topic: Topic) {
+    let known = daemon.follow.topics.entry(topic).or_default();
+    if !known.read || daemon.role.current != Role::Host {
+        fx.store(Call::Read(topic));
+    } else if known.watched.is_none() {
+        known.watched = Some(known.revision);
+        fx.store(Call::Watch(topic, known.revision));
+    }
+}
+
+/// Reads every topic again, since the store came back from a copy. What a watch would bring may lack
+/// changes that the copy undid.
+pub fn on_era(daemon: &mut Daemon, now: Now) {
+    // Entries that are missing now may be written again.
+    daemon.follow.failed = Some(now.mono);
+    role::on_era(daemon);
+    for group in daemon.groups.values_mut() {
+        (group.written, group.held) = (0, 0);
+    }
+    for topic in Topic::ALL {
+        if let Some(known) = daemon.follow.topics.get_mut(&topic) {
+            (known.read, known.watched) = (false, None);
+            read_again(daemon, now, topic);
+        }
+    }
 }
 
-/// Acts on an event of the store.
-pub fn on_event(daemon: &mut Daemon, now: Now, fx: &mut Effects, event: Event) {
+/// Has a topic read again, with a spread over the daemons that do so at the same time.
+fn read_again(daemon: &mut Daemon, now: Now, topic: Topic) {
+    if daemon.role.current == Role::Host {
+        let listed = u32::try_from(daemon.members.len()).unwrap_or(u32::MAX);
+        let pause = daemon.random.jitter(REREAD_STEP * listed);
+        daemon.timers.arm(timer::Key::Store(topic), now.mono + pause);
+    }
+}
+
+/// Acts on an answer of the store. One that belongs to an earlier era counts as lost.
+pub fn on_answer(daemon: &mut Daemon, now: Now, fx: &mut Effects, answer: Answer) {
+    era::on_answer(daemon, now, fx, answer.era);
+    let late = answer.era != 0 && answer.era < daemon.era.current;
+    on_event(daemon, now, fx, if late { answer.event.lost() } else { answer.event });
+}
+
+fn on_event(daemon: &mut Daemon, now: Now, fx: &mut Effects, event: Event) {
     match event {
         Event::Read(topic, result) => on_contents(daemon, now, fx, topic, result, true),
-        Event::Watched(topic, result) => on_contents(daemon, now, fx, topic, result, false),
+        Event::Watched(topic, after, result) => {
+            let known = daemon.follow.topics.entry(topic).or_default();
+            // Another watch may have been begun since, in a later era.
+            if known.watched.take_if(|watched| *watched == after).is_some() {
+                on_contents(daemon, now, fx, topic, result, false);
+            }
+        }
         Event::Written(call, result) => {
             if !member::on_written(daemon, now, fx, call, result) {
                 failover::on_written(daemon, now, fx, call, result);
@@ -170,7 +219,7 @@
             if daemon.role.current != Role::Host {
                 // An entry follows nothing; it becomes a host or asks hosts.
             } else if first {
-                fx.store(Call::Watch(topic, known.revision));
+                on_timer(daemon, fx, topic);
             } else if !whole {
                 let pause = pause(daemon, topic, now);
                 daemon.timers.arm(timer::Key::Store(topic), now.mono + pause);
@@ -209,7 +258,7 @@
         fx.log(Line::belief("store history gone").with("topic", topic.name()));
         known.read = false;
         known.revision = 0;
-        return fx.store(Call::Read(topic));
+        return read_again(daemon, now, topic);
     }
     if known.failing.is_none() {
         known.failing = Some(now.mono);
@@ -271,6 +320,10 @@
     }
     for (server, entry) in entries {
         match entry {
+            Some(Ok(entry)) if whole && is_outdated(daemon, now, &server, &entry) => {
+                let line = Line::belief("server entry outdated").with("server", &server);
+                fx.log(line.with("revision", entry.revision));
+            }
             Some(Ok(entry)) => put(daemon, now, fx, &server, entry),
             Some(Err(fault)) => {
                 let line = Line::belief("server entry refused").with("server", &server);
@@ -283,8 +336,23 @@
     failover::review_all(daemon, now, fx);
 }
 
+/// Whether an entry tells less than is known: the store came back from a copy a moment ago, and the
+/// server has not written it again yet.
+fn is_outdated(daemon: &Daemon, now: Now, server: &id::Server, entry: &Entry) -> bool {
+    if era::is_restored(daemon, now) {
+        return false;
+    }
+    let gone = daemon.follow.gone.get(server).is_some_and(|started| entry.started_ms <= *started);
+    let known = daemon.directory.get(server);
+    gone || known.is_some_and(|known| {
+        let undone = known.draining && !entry.draining && entry.started_ms == known.started_ms;
+        entry.started_ms < known.started_ms || undone
+    })
+}
+
 fn put(daemon: &mut Daemon, now: Now, fx: &mut Effects, server: &id::Server, entry: Entry) {
     daemon.follow.missing.swap_remove(server);
+    daemon.follow.gone.swap_remove(server);
     let before = daemon.directory.get(server);
     let restarted = before.is_some_and(|before| {
         before.started_ms != entry.started_ms || before.address != entry.address
@@ -332,7 +400,12 @@
     daemon.follow.missing.swap_remove(server);
     fx.log(Line::belief("server gone").with("server", server));
     request::drop_server(daemon, now, fx, server, "the server is gone");
-    daemon.directory.swap_remove(server);
+    if let Some(entry) = daemon.directory.swap_remove(server) {
+        if daemon.follow.gone.len() >= MOST_GONE {
+            daemon.follow.gone.shift_remove_index(0);
+        }
+        daemon.follow.gone.insert(server.clone(), entry.started_ms);
+    }
     daemon.pools.swap_remove(server);
 }
 
@@ -356,21 +429,15 @@
 
 fn on_own(daemon: &mut Daemon, now: Now, fx: &mut Effects, items: Vec<Item>, whole: bool) {
     if whole {
-        let listed = |name: &id::Daemon| items.iter().any(|item| item.key == lease::key(name));
-        let gone: Vec<_> = daemon.members.keys().filter(|it| !listed(it)).cloned().collect();
-        for name in gone {
-            daemon.members.swap_remove(&name);
-            daemon.follow.list(now, &name, false);
-        }
-        if !daemon.members.contains_key(&daemon.settings.daemon) {
-            daemon.lease.revision = 0;
-        }
+        on_unlisted(daemon, now, &items);
     }
     for item in items {
         if let Some(name) = item.key.strip_prefix(lease::PREFIX) {
             on_member(daemon, now, fx, &id::Daemon::from(name), &item);
         } else if item.key == role::MARK {
             role::on_mark(daemon, now, item.value.is_some());
+        } else if item.key == era::MARK {
+            era::on_mark(daemon, item.value.as_deref(), item.revision);
         } else if let Some(database) = item.key.strip_prefix(group::PREFIX) {
             on_intention(daemon, now, fx, &id::Database::from(database), &item);
         }
@@ -379,6 +446,28 @@
     failover::review_all(daemon, now, fx);
 }
 
+/// Takes note of what a reading of the own keys lacks. Daemons whose keys a copy of the store lacks
+/// have the time to write them again.
+fn on_unlisted(daemon: &mut Daemon, now: Now, items: &[Item]) {
+    let listed = |key: &str| items.iter().any(|item| item.key == key);
+    if era::is_restored(daemon, now) {
+        let members = daemon.members.keys().filter(|name| !listed(&lease::key(name)));
+        let gone: Vec<_> = members.cloned().collect();
+        for name in gone {
+            daemon.members.swap_remove(&name);
+            daemon.follow.list(now, &name, false);
+        }
+    }
+    if !listed(&lease::key(&daemon.settings.daemon)) {
+        daemon.lease.revision = 0;
+    }
+    for (database, group) in &mut daemon.groups {
+        if !listed(&group::key(database)) {
+            (group.written, group.held) = (0, 0);
+        }
+    }
+}
+
 fn on_member(daemon: &mut Daemon, now: Now, fx: &mut Effects, name: &id::Daemon, item: &Item) {
     if *name == daemon.settings.daemon {
         daemon.lease.revision = item.value.as_ref().map_or(0, |_| item.revision);
@@ -418,23 +507,28 @@
     let Some(value) = &item.value else {
         return;
     };
-    let intention: Intention = match serde_json::from_slice(value) {
-        Ok(intention) => intention,
+    let record: group::Record = match serde_json::from_slice(value) {
+        Ok(record) => record,
         Err(error) => {
             let line = Line::belief("intention unreadable").with("database", database);
             return fx.log(line.with("error", error));
         }
     };
     let awaited = right::holds_own(daemon, now);
+    let order = record.order(item.revision);
     let group = daemon.groups.entry(database.clone()).or_default();
-    if group.moved.as_ref().is_some_and(|known| known.revision >= item.revision) {
+    if item.revision >= group.written {
+        (group.written, group.held) = (item.revision, order);
+    }
+    if group.moved.as_ref().is_some_and(|known| known.revision >= order) {
         return;
     }
+    let intention = record.intention;
     let line = Line::belief("primary to be moved").with("database", database);
     let line = line.with("from", &intention.from).with("to", &intention.to);
     let line = line.with("by", &intention.by).with("planned", intention.planned);
-    fx.log(line.with("revision", item.revision));
-    group.learn(intention, item.revision, now.mono, awaited);
+    fx.log(line.with("revision", order));
+    group.learn(intention, order, now.mono, awaited);
     failover::on_intention(daemon, now, database);
     if right::primary(daemon, now, database).is_ok() {
         request::on_leader(daemon, now, fx, database);
--- a/crates/gcl-direct/src/group.rs
+++ b/crates/gcl-direct/src/group.rs
@@ -6,7 +6,9 @@
 
 use crate::{
     directory::{self, Directory},
+    era,
     observation::History,
+    store::Era,
 };
 use compact_str::{CompactString, format_compact};
 use gcl_core::id;
@@ -31,6 +33,29 @@
     pub planned: bool,
 }
 
+/// An intention as it is written to the store. A store that comes back from a copy may have lost it, or
+/// hold an older one, so that the revision alone does not tell which of two is newer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Record {
+    /// The intention.
+    #[serde(flatten)]
+    pub intention: Intention,
+    /// The era in which it was written.
+    #[serde(default)]
+    pub era: Era,
+    /// Its place in the order of intentions, if it was written once before; zero if not.
+    #[serde(default)]
+    pub order: id::Revision,
+}
+
+impl Record {
+    /// The intention's place in the order of intentions, as it was read with a revision.
+    #[must_use]
+    pub const fn order(&self, revision: id::Revision) -> id::Revision {
+        if self.order == 0 { era::order(self.era, era::revision(revision)) } else { self.order }
+    }
+}
+
 /// The key of a database's intention.
 #[must_use]
 pub fn key(database: &str) -> CompactString {
@@ -42,7 +67,7 @@
 pub struct Move {
     /// The intention.
     pub intention: Intention,
-    /// Its revision, which is also the fencing token of its promotion.
+    /// Its place in the order of intentions, which is also the fencing token of its promotion.
     pub revision: id::Revision,
     /// When this daemon first saw it.
     pub seen: Duration,
@@ -60,6 +85,10 @@
     pub released: bool,
     /// The newest intention whose target leads, as other daemons tell.
     pub done: id::Revision,
+    /// The last change of the intention's key in the store's present era, zero for absent.
+    pub written: id::Revision,
+    /// The place of the intention that the key holds.
+    pub held: id::Revision,
     /// Positions of the primary.
     pub history: History,
     /// The last server that was known to lead.
--- a/crates/gcl-direct/src/lease.rs
+++ b/crates/gcl-direct/src/lease.rs
@@ -96,6 +96,8 @@
     pub record: Record,
     /// Whether the record changed since it was last sent.
     pub changed: bool,
+    /// When a lease of the store's earlier era would have ended.
+    former: Duration,
 }
 
 impl State {
@@ -103,9 +105,9 @@
     #[must_use]
     pub fn until(&self) -> Duration {
         if self.stage == Stage::Held {
-            (self.since + self.time).saturating_sub(MARGIN)
+            self.former.max((self.since + self.time).saturating_sub(MARGIN))
         } else {
-            Duration::ZERO
+            self.former
         }
     }
 
@@ -128,6 +130,14 @@
         self.call = None;
     }
 
+    /// Forgets a lease that the store has lost with its earlier era. What it allows ends when it would
+    /// have run out, which those who move primaries wait for.
+    pub fn forsake(&mut self) {
+        self.former = self.until();
+        self.revision = 0;
+        self.end();
+    }
+
     /// Takes the end of a write of the daemon's key; true when it was made.
     pub fn on_written(&mut self, written: Written) -> bool {
         self.call = None;
--- a/crates/gcl-direct/src/lib.rs
+++ b/crates/gcl-direct/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod directory;
 pub mod drain;
 pub mod effect;
+pub mod era;
 pub mod event;
 pub mod failover;
 pub mod feed;
--- a/crates/gcl-direct/src/member.rs
+++ b/crates/gcl-direct/src/member.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     effect::Effects,
-    gossip,
+    era, gossip,
     lease::{self, RENEWAL, RETRY, Release, Stage, TIME},
     line::Line,
     right,
@@ -15,8 +15,12 @@
 use gcl_core::{id, store::Lease, time::Now};
 use std::time::Duration;
 
-/// Asks for a lease.
+/// Asks for a lease, as soon as the store's era allows it.
 pub fn start(daemon: &mut Daemon, now: Now, fx: &mut Effects) {
+    let due = era::joins_at(daemon, now);
+    if now.mono < due {
+        return daemon.timers.arm(timer::Key::Lease, due);
+    }
     daemon.lease.record.incarnation = daemon.incarnation;
     daemon.lease.record.address = daemon.settings.peer_address.clone();
     daemon.lease.record.domain = daemon.settings.domain.clone();
--- a/crates/gcl-direct/src/reduce.rs
+++ b/crates/gcl-direct/src/reduce.rs
@@ -5,6 +5,7 @@
     connection::Step,
     drain,
     effect::{Effect, Effects},
+    era,
     event::Event,
     failover, feed, follow, gossip, guest, home,
     line::Line,
@@ -27,7 +28,7 @@
         }
         Event::Caller(session, event) => session::on_event(state, now, &mut fx, session, event),
         Event::Backend(connection, event) => on_backend(state, now, &mut fx, connection, event),
-        Event::Store(event) => follow::on_event(state, now, &mut fx, event),
+        Event::Store(answer) => follow::on_answer(state, now, &mut fx, answer),
         Event::Promoted { database, result } => {
             failover::on_promoted(state, now, &mut fx, &database, result);
         }
@@ -80,6 +81,7 @@
         timer::Key::Gossip => gossip::on_timer(state, now, fx),
         timer::Key::Lease => member::on_timer(state, now, fx),
         timer::Key::Store(topic) => follow::on_timer(state, fx, topic),
+        timer::Key::Era => era::on_timer(state, now, fx),
         timer::Key::Missing => follow::on_missing(state, now, fx),
         timer::Key::Failover(database) => failover::review(state, now, fx, &database),
         timer::Key::Role => role::on_timer(state, fx),
--- a/crates/gcl-direct/src/role.rs
+++ b/crates/gcl-direct/src/role.rs
@@ -190,6 +190,11 @@
     }
 }
 
+/// Forgets the mark of a fleet with entries, which a copy of the store may lack; it is read again.
+pub const fn on_era(daemon: &mut Daemon) {
+    (daemon.role.entries, daemon.role.marked) = (false, None);
+}
+
 /// Takes the mark of a fleet with entries as it was read.
 pub fn on_mark(daemon: &mut Daemon, now: Now, present: bool) {
     daemon.role.entries = present;
--- a/crates/gcl-direct/src/state.rs
+++ b/crates/gcl-direct/src/state.rs
@@ -1,8 +1,8 @@
 //! Everything that one daemon knows.
 
 use crate::{
-    config::Config, connection::Connection, directory::Directory, drain, failover, feed, follow,
-    gossip, group::Group, guest, home, lease, limit, link, news, pool::Pool, role,
+    config::Config, connection::Connection, directory::Directory, drain, era, failover, feed,
+    follow, gossip, group::Group, guest, home, lease, limit, link, news, pool::Pool, role,
     session::Session, settings::Settings, timer,
 };
 use gcl_core::{id, random::Random};
@@ -53,6 +53,8 @@
     pub members: IndexMap<id::Daemon, Member>,
     /// How the store is followed.
     pub follow: follow::State,
+    /// The store's era.
+    pub era: era::State,
     /// This daemon's lease.
     pub lease: lease::State,
     /// What other daemons tell.
@@ -97,6 +99,7 @@
             directory: Directory::default(),
             members: IndexMap::new(),
             follow: follow::State::default(),
+            era: era::State::default(),
             lease: lease::State::default(),
             gossip: gossip::State::default(),
             groups: IndexMap::new(),
--- a/crates/gcl-direct/src/store.rs
+++ b/crates/gcl-direct/src/store.rs
@@ -14,6 +14,9 @@
 /// Prefix of all keys that the daemons write.
 pub const OWN_PREFIX: &str = "goldcrest/";
 
+/// How often the store has come back from a copy; see [`crate::era`]. Zero while it does not tell.
+pub type Era = u64;
+
 /// A call that has an answer, or why it has none.
 pub type Result<T> = std::result::Result<T, Failure>;
 
@@ -121,13 +124,22 @@
     NoLease,
 }
 
-/// What came from the store.
+/// What came from the store, and the era that it belongs to.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Answer {
+    /// The era, zero where none was told, as when a call was not answered.
+    pub era: Era,
+    /// What came.
+    pub event: Event,
+}
+
+/// What came from the store. Revisions have their place in the order over all eras.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Event {
     /// A topic was read at a revision.
     Read(Topic, Result<(Contents, id::Revision)>),
-    /// A watch returned changes, and the revision to go on from.
-    Watched(Topic, Result<(Contents, id::Revision)>),
+    /// A watch from a revision returned changes, and the revision to go on from.
+    Watched(Topic, id::Revision, Result<(Contents, id::Revision)>),
     /// A write ended.
     Written(id::Call, Result<Written>),
     /// A lease was granted for a time.
@@ -135,3 +147,18 @@
     /// A lease was renewed; false when it had ended.
     Renewed(Lease, Result<bool>),
 }
+
+impl Event {
+    /// The same call without its answer.
+    #[must_use]
+    pub fn lost(self) -> Self {
+        let failure = Failure::Lost;
+        match self {
+            Self::Read(topic, _) => Self::Read(topic, Err(failure)),
+            Self::Watched(topic, after, _) => Self::Watched(topic, after, Err(failure)),
+            Self::Written(call, _) => Self::Written(call, Err(failure)),
+            Self::Granted(_) => Self::Granted(Err(failure)),
+            Self::Renewed(lease, _) => Self::Renewed(lease, Err(failure)),
+        }
+    }
+}
--- a/crates/gcl-direct/src/timer.rs
+++ b/crates/gcl-direct/src/timer.rs
@@ -25,6 +25,8 @@
     Lease,
     /// A part of the store is asked for again.
     Store(Topic),
+    /// A new era of the store goes on.
+    Era,
     /// Servers whose entries lapsed are taken as gone.
     Missing,
     /// A database's primary is looked at again.
--- a/crates/gcl-direct/tests/direct/main.rs
+++ b/crates/gcl-direct/tests/direct/main.rs
@@ -10,6 +10,7 @@
 mod cell;
 mod connection;
 mod drain;
+mod era;
 mod evidence;
 mod failover;
 mod gossip;
--- a/crates/gcl-direct/tests/direct/world.rs
+++ b/crates/gcl-direct/tests/direct/world.rs
@@ -12,13 +12,16 @@
     config::{Config, Database, Freshness, Route, Workspace},
     directory::Entry,
     effect::Effect,
+    era,
     event::Event,
     link::{self, Ask},
     reduce::reduce,
     settings::{Bounds, Settings},
     state::State,
     statement::{Access, Query, Statement},
-    store::{Call as StoreCall, Contents, Event as Store, Failure, Item, Topic, Written},
+    store::{
+        Answer as Told, Call as StoreCall, Contents, Event as Store, Failure, Item, Topic, Written,
+    },
 };
 use indexmap::{IndexMap, IndexSet};
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
@@ -79,6 +82,7 @@
 #[derive(Debug)]
 enum What {
     Deliver(usize, u64, Event),
+    WriteAgain,
     Promote(id::Server),
     Expire,
 }
@@ -93,6 +97,15 @@
     dirty_commit: bool,
 }
 
+/// What the store held at some time.
+#[derive(Clone, Debug)]
+pub struct Copy {
+    revision: u64,
+    items: IndexMap<String, Item>,
+    entries: IndexMap<id::Server, Entry>,
+    config: Config,
+}
+
 #[derive(Debug, Default)]
 pub struct World {
     pub now_ms: u64,
@@ -112,9 +125,13 @@
     streams: IndexSet<(usize, usize)>,
     queue: BTreeMap<(u64, u64), What>,
     order: u64,
+    /// The store's era, zero while it tells none.
+    pub era: u64,
     revision: u64,
     items: IndexMap<String, Item>,
     leases: IndexMap<u64, (u64, u64)>,
+    /// What a copy holds of servers and configuration until they are written again.
+    outdated: Option<Copy>,
     watches: Vec<(usize, u64, Topic, u64)>,
     links: IndexMap<(usize, u64), Link>,
     replies: IndexMap<Session, Vec<Reply>>,
@@ -188,8 +205,13 @@
 
     /// The same with the daemons in `domains` failure domains.
     pub fn spread(daemons: usize, domains: usize) -> Self {
+        Self::in_era(0, daemons, domains)
+    }
+
+    /// The same with a store that tells its era.
+    pub fn in_era(era: u64, daemons: usize, domains: usize) -> Self {
         let mut world =
-            Self { now_ms: 1000, revision: 10, config: config(), domains, ..Self::default() };
+            Self { now_ms: 1000, era, revision: 10, config: config(), domains, ..Self::default() };
         for (name, domain) in [("a", "alpha"), ("b", "beta"), ("c", "gamma")] {
             world.add_server(name, domain, name == "a");
         }
@@ -354,6 +376,7 @@
                 }
             }
             What::Promote(name) => self.take_over(&name),
+            What::WriteAgain => self.write_again(),
             What::Expire => {}
         }
     }
@@ -596,17 +619,73 @@
         }
     }
 
+    /// What the store holds now.
+    pub fn copy(&self) -> Copy {
+        let entries = self.servers.iter().map(|(name, it)| (name.clone(), it.entry.clone()));
+        Copy {
+            revision: self.revision,
+            items: self.items.clone(),
+            entries: entries.collect(),
+            config: self.config.clone(),
+        }
+    }
+
+    /// The store comes back from a copy. Servers and operators write again after a while; watches that
+    /// wait go on to wait.
+    pub fn come_back(&mut self, copy: Copy, written_again_ms: u64) {
+        self.era += 1;
+        self.revision = copy.revision;
+        self.leases.clear();
+        self.items.clone_from(&copy.items);
+        self.items.retain(|_, item| item.lease == 0);
+        self.outdated = Some(copy);
+        self.store_down = false;
+        self.schedule(written_again_ms, What::WriteAgain);
+    }
+
+    fn write_again(&mut self) {
+        self.outdated = None;
+        for name in self.servers.keys().cloned().collect::<Vec<_>>() {
+            self.announce(&name, |_entry| {});
+        }
+        self.revision += 1;
+        self.notify(Topic::Config);
+    }
+
+    /// An own key of the daemons, as the store holds it.
+    pub fn item(&self, key: &str) -> Option<&Item> {
+        self.items.get(key).filter(|item| item.value.is_some())
+    }
+
+    fn entries(&self) -> IndexMap<id::Server, Entry> {
+        match &self.outdated {
+            Some(copy) => copy.entries.clone(),
+            None => {
+                self.servers.iter().map(|(name, it)| (name.clone(), it.entry.clone())).collect()
+            }
+        }
+    }
+
+    fn answer_store(&mut self, daemon: usize, event: Store) {
+        let away = self.store_down || self.nodes[daemon].no_store;
+        let era = if away { 0 } else { self.era };
+        self.later(WAY_MS * 2, daemon, Event::Store(Told { era, event }));
+    }
+
     fn call_store(&mut self, daemon: usize, call: StoreCall) {
         *self.calls.entry(call.name()).or_default() += 1;
         let away = self.store_down || self.nodes[daemon].no_store;
-        let wait = WAY_MS * 2;
         let failed = Failure::Unreached;
         let event = match call {
             StoreCall::Read(topic) if away => Store::Read(topic, Err(failed)),
-            StoreCall::Read(topic) => {
-                Store::Read(topic, Ok((self.contents(topic, 0), self.revision)))
+            StoreCall::Read(topic) => Store::Read(
+                topic,
+                Ok((self.contents(topic, 0), era::order(self.era, self.revision))),
+            ),
+            StoreCall::Watch(topic, after) if away => Store::Watched(topic, after, Err(failed)),
+            StoreCall::Watch(topic, after) if era::revision(after) > self.revision => {
+                Store::Watched(topic, after, Err(Failure::Compacted))
             }
-            StoreCall::Watch(topic, _) if away => Store::Watched(topic, Err(failed)),
             StoreCall::Watch(topic, after) => {
                 let boot = self.nodes[daemon].boot_ms;
                 self.watches.push((daemon, boot, topic, after));
@@ -638,12 +717,12 @@
                 return;
             }
         };
-        self.later(wait, daemon, Event::Store(event));
+        self.answer_store(daemon, event);
     }
 
     fn write(&mut self, key: &str, expected: u64, value: Bytes, lease: u64) -> Written {
         let known = self.items.get(key).filter(|item| item.value.is_some());
-        if known.map_or(0, |item| item.revision) != expected {
+        if known.map_or(0, |item| item.revision) != era::revision(expected) {
             return Written::Conflict;
         }
         if lease != 0 && !self.leases.contains_key(&lease) {
@@ -653,7 +732,7 @@
         let item = Item { key: key.into(), value: Some(value), revision: self.revision, lease };
         self.items.insert(key.to_owned(), item);
         self.notify(Topic::Own);
-        Written::Done(self.revision)
+        Written::Done(era::order(self.era, self.revision))
     }
 
     fn expire(&mut self) {
@@ -672,16 +751,26 @@
 
     fn contents(&self, topic: Topic, after: u64) -> Contents {
         match topic {
-            Topic::Config => Contents::Config(Some(Ok(Box::new(self.config.clone())))),
+            Topic::Config => {
+                let config = self.outdated.as_ref().map_or(&self.config, |copy| &copy.config);
+                Contents::Config(Some(Ok(Box::new(config.clone()))))
+            }
             Topic::Servers => {
-                let changed = self.servers.iter().filter(|(_, it)| it.entry.revision > after);
-                let entries = changed.map(|(name, it)| (name.clone(), Some(Ok(it.entry.clone()))));
+                let entries = self.entries().into_iter().filter(|(_, it)| it.revision > after);
+                let entries = entries.map(|(name, mut it)| {
+                    it.revision = era::order(self.era, it.revision);
+                    (name, Some(Ok(it)))
+                });
                 Contents::Servers(entries.collect())
             }
             Topic::Own => {
                 let changed = self.items.values().filter(|item| item.revision > after);
                 let kept = changed.filter(|item| after > 0 || item.value.is_some());
-                Contents::Own(kept.cloned().collect())
+                let kept = kept.cloned().map(|mut item| {
+                    item.revision = era::order(self.era, item.revision);
+                    item
+                });
+                Contents::Own(kept.collect())
             }
         }
     }
@@ -692,24 +781,25 @@
         for (daemon, boot, watched, after) in waiting {
             let newest = match topic {
                 Topic::Config => self.config.version + 10,
-                Topic::Servers => {
-                    self.servers.values().map(|it| it.entry.revision).max().unwrap_or(0)
-                }
+                Topic::Servers => self.entries().values().map(|it| it.revision).max().unwrap_or(0),
                 Topic::Own => self.items.values().map(|item| item.revision).max().unwrap_or(0),
             };
             let gone = self.store_down || self.nodes[daemon].no_store;
             let known = self.nodes[daemon].state.config.as_ref().map_or(0, |it| it.version);
-            let news =
-                if topic == Topic::Config { self.config.version > known } else { newest > after };
+            let news = if topic == Topic::Config {
+                self.config.version > known && self.outdated.is_none()
+            } else {
+                newest > era::revision(after)
+            };
             if watched != topic || gone || !news {
                 self.watches.push((daemon, boot, watched, after));
                 continue;
             }
-            let result = Ok((self.contents(topic, after), self.revision));
-            self.schedule(
-                WAY_MS,
-                What::Deliver(daemon, boot, Event::Store(Store::Watched(topic, result))),
-            );
+            let contents = self.contents(topic, era::revision(after));
+            let result = Ok((contents, era::order(self.era, self.revision)));
+            let event = Store::Watched(topic, after, result);
+            let told = Event::Store(Told { era: self.era, event });
+            self.schedule(WAY_MS, What::Deliver(daemon, boot, told));
         }
     }
 
@@ -723,8 +813,9 @@
             .into_iter()
             .partition(|(node, ..)| away && daemon.is_none_or(|daemon| daemon == *node));
         self.watches = kept;
-        for (node, boot, topic, _) in ended {
-            let lost = Event::Store(Store::Watched(topic, Err(Failure::Lost)));
+        for (node, boot, topic, after) in ended {
+            let event = Store::Watched(topic, after, Err(Failure::Lost));
+            let lost = Event::Store(Told { era: 0, event });
             self.schedule(WAY_MS, What::Deliver(node, boot, lost));
         }
     }
