test(standin): the store comes back from a copy, in the soak and end to end

The soak gains it as a fault that is drawn apart, so that the plans of earlier seeds stay as they were, and checks that the fences of promotions only rise.

--- a/crates/gcl-daemon/tests/platform/main.rs
+++ b/crates/gcl-daemon/tests/platform/main.rs
@@ -93,6 +93,31 @@
     caller.query("WRITE t1 again").await.expect("it is written");
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn bookings_go_on_in_a_new_era_of_the_store() {
+    let deployment = start("era", 3).await;
+    let mut caller = connect(&deployment, 0, SERVICE).await;
+    let copy = deployment.store.copy();
+    let primary = deployment.group.primary();
+    deployment.group.crash(&primary);
+    while caller.query("WRITE t1 moved").await.is_err() {}
+    let moved = deployment.group.primary();
+    // The old primary does not know that it was superseded, and the copy says that it leads.
+    deployment.group.isolate(&primary);
+    deployment.group.revive(&primary);
+    deployment.store.come_back(copy, Duration::from_millis(600)).await;
+    for daemon in &deployment.daemons {
+        wait_for(daemon, "\"event\":\"store era\"").await;
+    }
+    for number in 0..20 {
+        caller.query(&format!("WRITE t{number} booked")).await.expect("the primary is known");
+    }
+    assert_eq!(deployment.group.primary(), moved);
+    let mut other = connect(&deployment, 2, SERVICE).await;
+    assert_eq!(other.query("READ t1").await.expect("it is served"), ["booked"]);
+    assert_eq!(deployment.group.fences().len(), 1, "nothing is moved again");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_killed_daemon_is_back_under_its_name() {
     let mut deployment = start("kill", 2).await;
--- a/crates/gcl-daemon/tests/soak/main.rs
+++ b/crates/gcl-daemon/tests/soak/main.rs
@@ -16,10 +16,23 @@
 #[test_case(618)]
 #[tokio::test(flavor = "multi_thread")]
 async fn no_promise_is_broken(seed: u64) {
+    play(seed, 0).await;
+}
+
+/// The store comes back from copies some seconds old, beside the other faults.
+#[test_case(2001)]
+#[test_case(2002)]
+#[tokio::test(flavor = "multi_thread")]
+async fn no_promise_is_broken_across_eras(seed: u64) {
+    play(seed, 3).await;
+}
+
+async fn play(seed: u64, returns: usize) {
     let directory = env::temp_dir().join(format!("goldcrest-soak-{}-{seed}", process::id()));
     fs::create_dir_all(&directory).expect("the directory can be made");
     let program = PathBuf::from(env!("CARGO_BIN_EXE_goldcrestd"));
-    let options = Options { seed, daemons: 3, callers: 12, faults: 20, program, directory };
+    let options =
+        Options { seed, daemons: 3, callers: 12, faults: 20, returns, program, directory };
     let outcome = run(&options).await.expect("the soak runs");
     assert!(outcome.broken.is_empty(), "seed {seed}: {:#?}", outcome.broken);
     assert!(outcome.served > 0, "somebody was served");
--- a/crates/gcl-soak/src/main.rs
+++ b/crates/gcl-soak/src/main.rs
@@ -20,6 +20,7 @@
     options.optopt("", "daemons", "daemons, by default 3", "N");
     options.optopt("", "callers", "callers, by default 12", "N");
     options.optopt("", "faults", "faults of each seed, by default 20", "N");
+    options.optopt("", "returns", "returns of the store from a copy, by default 2", "N");
     options.optopt("", "daemon", "the daemon's program", "FILE");
     options.optflag("", "plan", "print the faults of each seed");
     options
@@ -75,6 +76,7 @@
             daemons: number(matches, "daemons", 3)?,
             callers: number(matches, "callers", 12)?,
             faults: number(matches, "faults", 20)?,
+            returns: number(matches, "returns", 2)?,
             program: program.clone(),
             directory: directory.clone(),
         };
--- a/crates/gcl-soak/src/plan.rs
+++ b/crates/gcl-soak/src/plan.rs
@@ -11,6 +11,8 @@
 const LONG_MS: Range<u64> = 3_000..9_000;
 /// What an isolation lasts at least, so that another server takes over in its first half.
 const ISOLATED: Duration = Duration::from_secs(4);
+/// Time between two returns of the store, in which everything is written again.
+const RETURN_PAUSE: Duration = Duration::from_millis(2_500);
 /// Delay of a slow connection in milliseconds.
 const DELAY_MS: Range<u64> = 5..150;
 
@@ -48,6 +50,8 @@
     Reload(usize),
     /// The platform's store answers nobody.
     StoreAway,
+    /// The platform's store comes back from a copy, as old as the fault lasts.
+    StoreReturns,
     /// A server crashes.
     Crash(usize),
     /// The primary is separated from the other servers and the platform, and for the first half of
@@ -77,6 +81,8 @@
     pub servers: usize,
     /// Faults.
     pub faults: usize,
+    /// Times that the store comes back from a copy, beside the faults.
+    pub returns: usize,
 }
 
 /// Draws the faults of a seed.
@@ -102,9 +108,28 @@
         }
         steps.push(Step { at, length, fault });
     }
+    returns(&mut steps, seed, size, at);
     steps
 }
 
+/// Adds returns of the store at any moment of the soak, one after the other. They are drawn apart, so
+/// that the other faults of a seed stay as they were before there were any.
+fn returns(steps: &mut Vec<Step>, seed: u64, size: Size, end: Duration) {
+    let mut random = StdRng::seed_from_u64(!seed);
+    let mut after = Duration::ZERO;
+    for _ in 0..size.returns {
+        let at = after + end.mul_f64(random.random_range(0.0..1.0) / count(size.returns));
+        let length = Duration::from_millis(random.random_range(LENGTH_MS));
+        steps.push(Step { at, length, fault: Fault::StoreReturns });
+        after = at + length + RETURN_PAUSE;
+    }
+    steps.sort_by_key(|step| step.at);
+}
+
+fn count(number: usize) -> f64 {
+    f64::from(u32::try_from(number).unwrap_or(u32::MAX))
+}
+
 fn fault(random: &mut StdRng, size: Size) -> Fault {
     let daemon = random.random_range(0..size.daemons);
     let server = random.random_range(0..size.servers);
--- a/crates/gcl-soak/src/run.rs
+++ b/crates/gcl-soak/src/run.rs
@@ -27,6 +27,10 @@
 const SERVERS: usize = 3;
 /// Pause between two looks whether the deployment serves again.
 const LOOK: Duration = Duration::from_millis(50);
+/// How long the store is away before it comes back from a copy.
+const RETURN: Duration = Duration::from_millis(300);
+/// Time after which servers and operators have written again what the copy lacks.
+const WRITTEN_AGAIN: Duration = Duration::from_millis(900);
 
 /// What is to be played.
 #[derive(Clone, Debug)]
@@ -39,6 +43,8 @@
     pub callers: usize,
     /// Faults.
     pub faults: usize,
+    /// Times that the store comes back from a copy.
+    pub returns: usize,
     /// The daemon's program.
     pub program: PathBuf,
     /// Where settings and logs go.
@@ -75,7 +81,12 @@
 /// # Errors
 /// A process or a port cannot be started, or a signal not be sent.
 pub async fn run(options: &Options) -> Result<Outcome> {
-    let size = Size { daemons: options.daemons, servers: SERVERS, faults: options.faults };
+    let size = Size {
+        daemons: options.daemons,
+        servers: SERVERS,
+        faults: options.faults,
+        returns: options.returns,
+    };
     let plan = plan::draw(options.seed, size);
     let world = Arc::new(World::start(&options.program, &options.directory, size).await?);
     let entries: Vec<_> = world.callers.iter().map(|proxy| proxy.address).collect();
@@ -156,6 +167,14 @@
                 sleep(step.length).await;
                 store.set_away(false);
             }
+            Fault::StoreReturns => {
+                let store = self.deployment.lock().await.store.clone();
+                let copy = store.copy();
+                sleep(step.length).await;
+                store.set_away(true);
+                sleep(RETURN).await;
+                store.come_back(copy, WRITTEN_AGAIN).await;
+            }
             Fault::Crash(server) => {
                 let group = Arc::clone(&self.deployment.lock().await.group);
                 let id = &self.servers[server].0;
@@ -251,6 +270,7 @@
         let lost = group.lost();
         let rolled_back = lost.rolled_back.into_iter().collect();
         let (mut refused, mut broken) = (IndexMap::new(), Vec::new());
+        broken.extend(fallen(&group.fences()));
         let mut times = Histogram::new(3).wrap_err("a histogram")?;
         let mut kept = 0;
         for account in accounts {
@@ -281,3 +301,18 @@
         Ok(Outcome { plan, served: times.len(), times, refused, rolled_back: kept, broken })
     }
 }
+
+/// Orders to promote whose fence is lower than one before, or was another server's.
+fn fallen(orders: &[(u64, String)]) -> Vec<String> {
+    let pairs = orders.iter().zip(orders.iter().skip(1));
+    let wrong = pairs.filter(|(before, after)| {
+        after.0 < before.0 || (after.0 == before.0 && after.1 != before.1)
+    });
+    let told = wrong.map(|(before, after)| {
+        format!(
+            "{} was promoted with fence {}, after {} with {}",
+            after.1, after.0, before.1, before.0
+        )
+    });
+    told.collect()
+}
--- a/crates/gcl-soak/tests/soak/plan.rs
+++ b/crates/gcl-soak/tests/soak/plan.rs
@@ -1,7 +1,7 @@
 use gcl_soak::plan::{Fault, Size, draw};
 use std::time::Duration;
 
-const SIZE: Size = Size { daemons: 3, servers: 3, faults: 200 };
+const SIZE: Size = Size { daemons: 3, servers: 3, faults: 200, returns: 0 };
 
 #[test]
 fn a_seed_draws_the_same_faults() {
