perf(home): in a fleet of hosts, statements for a primary go to its home

Load: a small fleet before servers with few connections. Each daemon held 10 to 16 of a server's 21 together while 1 to 4 were busy, opened one for every second statement, each 12 ms of one of three slots, and a fleet that returned after a loss of power found 13 to 15 of 21 still held by its earlier life.

Change: where all daemons are hosts, one in the primary's region is its home: it keeps half of the primary's connections, others go to it and have one connection each in reserve. Reads still go to replicas directly, and to the home where only the primary can serve them. A home's queue refuses at once whoever is pushed too far back, and no longer refuses what is urgent for what waits behind it (queue::late, expected_wait by rank). Reads leave a server whose last answer failed or whose opening is overdue (pool::doubt). A move of the primary suspends its home. The daemon that starts hands nothing on.

Tests in tests/direct/primary.rs; the one on shared connections, the one on reads and the one on counted operations name no type of this change.

--- a/crates/gcl-direct/src/forward.rs
+++ b/crates/gcl-direct/src/forward.rs
@@ -16,7 +16,7 @@
     home,
     line::Line,
     link::{self, Answer, Ask, Begin, Run},
-    request::{self, Stage},
+    request::{self, Request, Stage},
     role::Role,
     session::{self, Transaction},
     state::State as Daemon,
@@ -66,16 +66,43 @@
     else {
         return Choice::Nobody;
     };
-    if entry.guest.is_some() || !home::in_use(daemon) {
+    let latest = request.route.freshness == Freshness::Latest || entry.writes(request);
+    let database = &request.route.database;
+    let has_home = home::in_use(daemon) || (latest && home::has_primary(daemon, database));
+    if entry.guest.is_some() || !has_home {
         return Choice::Here;
     }
     if daemon.role.current == Role::Entry && !daemon.news.is_fresh(now) {
         return Choice::Nobody;
     }
+    home_for(daemon, now, request, latest)
+}
+
+/// The host that is to be asked to send a statement to a server, where this daemon sends only a few:
+/// the home of a primary that a read goes to since no replica can serve it.
+#[must_use]
+pub fn to_home_of(
+    daemon: &Daemon,
+    now: Now,
+    session: id::Session,
+    server: &id::Server,
+) -> Option<id::Daemon> {
+    let entry = daemon.sessions.get(&session).filter(|entry| entry.guest.is_none())?;
+    let request = entry.request.as_ref()?;
+    if home::in_use(daemon) || !home::has_home(daemon, server) || home::carries(daemon, server) {
+        return None;
+    }
+    match home_for(daemon, now, request, true) {
+        Choice::Host(host) => Some(host),
+        Choice::Here | Choice::Nobody => None,
+    }
+}
+
+/// The home to ask, of the primary's region for what needs the latest data.
+fn home_for(daemon: &Daemon, now: Now, request: &Request, latest: bool) -> Choice {
     let site = home::site(daemon, &request.route.database);
     let own = daemon.settings.region(&daemon.settings.domain);
     let primary = site.primary.as_ref().and_then(|domain| daemon.settings.region(domain));
-    let latest = request.route.freshness == Freshness::Latest || entry.writes(request);
     let regions = if latest { [primary.or(own), None] } else { [own, primary] };
     let regions: IndexSet<_> = regions.into_iter().flatten().collect();
     let homes: Vec<_> =
--- a/crates/gcl-direct/src/home.rs
+++ b/crates/gcl-direct/src/home.rs
@@ -80,7 +80,7 @@
     /// Whether this daemon is home of a database in its own region.
     #[must_use]
     pub fn carries(&self, database: &str) -> bool {
-        self.in_use && self.carried.contains_key(database)
+        self.carried.contains_key(database)
     }
 }
 
@@ -90,11 +90,32 @@
     !matches!(daemon.role.current, Role::Host) || daemon.home.in_use
 }
 
-/// Whether a server's connections are this daemon's, as the home of its database in its region.
+/// Whether a server's connections are this daemon's, as the home of its database in its region or of
+/// its primary.
 #[must_use]
 pub fn carries(daemon: &Daemon, server: &str) -> bool {
     daemon.directory.get(server).is_some_and(|entry| {
-        daemon.settings.distance(&entry.domain) < 2 && daemon.home.carries(&entry.database)
+        daemon.settings.distance(&entry.domain) < 2
+            && daemon.home.carries(&entry.database)
+            && (daemon.home.in_use || leads(daemon, server))
+    })
+}
+
+/// Whether statements for a server go to its home: all where homes are in use, else those for primaries.
+#[must_use]
+pub fn has_home(daemon: &Daemon, server: &str) -> bool {
+    in_use(daemon) || leads(daemon, server)
+}
+
+/// Whether a database has a primary whose home is asked, and that is not being moved.
+#[must_use]
+pub fn has_primary(daemon: &Daemon, database: &str) -> bool {
+    matches!(right::leader(daemon, database), Leader::Known(_))
+}
+
+fn leads(daemon: &Daemon, server: &str) -> bool {
+    daemon.directory.get(server).is_some_and(|entry| {
+        matches!(right::leader(daemon, &entry.database), Leader::Known(leader) if leader == *server)
     })
 }
 
@@ -106,7 +127,7 @@
     }
     let before = daemon.home.clone();
     daemon.home.in_use = daemon.role.entries || daemon.members.len() > role::FEW;
-    daemon.home.carried = if daemon.home.in_use { carried(daemon, now) } else { IndexMap::new() };
+    daemon.home.carried = carried(daemon, now);
     let after = &daemon.home;
     if (before.in_use, &before.carried) != (after.in_use, &after.carried) {
         // Connections beyond the new shares are closed.
@@ -124,11 +145,17 @@
     };
     let own = |database: &id::Database| {
         let site = site(daemon, database);
+        let primary = site.primary.as_ref().and_then(|domain| daemon.settings.region(domain));
+        if !daemon.home.in_use && primary != Some(region) {
+            return false;
+        }
         homes(daemon, now, &site, region).first().is_some_and(|it| **it == daemon.settings.daemon)
     };
     let kept = daemon.groups.keys().filter_map(|database| {
         let until = match daemon.home.carried.get(database) {
             _ if own(database) => None,
+            // A fleet that starts has no home to hand on from: each daemon was one to itself.
+            Some(_) if !daemon.home.in_use => return None,
             Some(until) => Some(until.unwrap_or(now.mono + HANDED_ON)),
             None => return None,
         };
--- a/crates/gcl-direct/src/pool/mod.rs
+++ b/crates/gcl-direct/src/pool/mod.rs
@@ -5,12 +5,14 @@
 //! closed as soon as it has rested for a moment. A connection carries one workspace, so where a workspace has none, an
 //! idle one of another workspace makes room.
 
+mod doubt;
 mod health;
 mod share;
 
 pub use self::{
+    doubt::is_doubtful,
     health::Health,
-    share::{Share, share, share_with_homes},
+    share::{Share, share, share_of_primary, share_with_homes},
 };
 
 use self::share::{most_opening, most_running, share_of};
@@ -19,6 +21,7 @@
     connection::{Connection, Phase, Step, Values},
     effect::Effects,
     line::Line,
+    place::Need,
     queue::{self, Waiter},
     request,
     state::State as Daemon,
@@ -130,6 +133,29 @@
 ) {
     daemon.pools.entry(server.clone()).or_default().waiting.push(waiter);
     pump(daemon, now, fx, server);
+    shed(daemon, now, fx, server);
+}
+
+/// Refuses the statements that others have pushed so far back in a home's queue that their time does
+/// not suffice.
+fn shed(daemon: &mut Daemon, now: Now, fx: &mut Effects, server: &id::Server) {
+    let lanes = most_running(daemon, server);
+    if lanes == usize::MAX {
+        return;
+    }
+    let turn = daemon.pools.get(server).map_or(LATENCY_FIRST, |pool| pool.latency);
+    let until = |waiter: &Waiter| {
+        let entry = daemon.sessions.get(&waiter.session);
+        entry.and_then(|entry| entry.request.as_ref()).map_or(now.mono, |it| it.wait_until)
+    };
+    let ordered = ordered(daemon, now, server);
+    let times = ordered.iter().map(|waiter| until(waiter).saturating_sub(now.mono));
+    let late = queue::late(times, turn, lanes);
+    let late: Vec<_> =
+        late.into_iter().map(|(place, wait)| (ordered[place].session, wait)).collect();
+    for (session, wait) in late {
+        request::on_shed(daemon, now, fx, session, wait);
+    }
 }
 
 /// Takes a session out of a server's queue.
@@ -203,15 +229,18 @@
     let Some(pool) = daemon.pools.get(server) else {
         return Vec::new();
     };
-    let held = |workspace: &id::Workspace| {
-        let held = open_in(daemon, pool).filter(|known| known.session.is_some());
-        held.filter(|known| known.workspace == *workspace).count()
-    };
     let mut waiting = pool.waiting.clone();
+    let held = |workspace: &id::Workspace| held(daemon, pool, workspace);
     waiting.sort_by_cached_key(|waiter| queue::rank(waiter, now.mono, held(&waiter.workspace)));
     waiting
 }
 
+/// Connections that sessions of a workspace hold.
+fn held(daemon: &Daemon, pool: &Pool, workspace: &id::Workspace) -> usize {
+    let held = open_in(daemon, pool).filter(|known| known.session.is_some());
+    held.filter(|known| known.workspace == *workspace).count()
+}
+
 fn idle_for(daemon: &Daemon, server: &id::Server, waiter: &Waiter) -> Option<id::Connection> {
     let pool = daemon.pools.get(server)?;
     let none = Values::new();
@@ -228,15 +257,19 @@
 
 /// How long a statement that comes now waits for a connection to a server.
 #[must_use]
-pub fn expected_wait(daemon: &Daemon, server: &str, workspace: &str) -> Duration {
+pub fn expected_wait(daemon: &Daemon, now: Now, server: &id::Server, waiter: &Waiter) -> Duration {
     let Some(pool) = daemon.pools.get(server) else {
         return Duration::ZERO;
     };
     let lanes = most_running(daemon, server);
     if lanes < usize::MAX && (pool.waiting.len() > lanes || running(daemon, server) >= lanes) {
-        return queue::expected_wait(pool.waiting.len(), pool.latency, lanes);
+        let held = |workspace: &id::Workspace| held(daemon, pool, workspace);
+        let own = queue::rank(waiter, now.mono, held(&waiter.workspace));
+        let before = |it: &&Waiter| queue::rank(it, now.mono, held(&it.workspace)) <= own;
+        let ahead = pool.waiting.iter().filter(before).count();
+        return queue::expected_wait(ahead, pool.latency, lanes);
     }
-    if is_warm(daemon, pool, workspace) {
+    if is_warm(daemon, pool, &waiter.workspace) {
         return Duration::ZERO;
     }
     let opening =
@@ -300,6 +333,7 @@
     daemon.connections.insert(name, connection);
     daemon.pools.entry(server.clone()).or_default().connections.insert(name);
     fx.count("gcl_backend_opened", server);
+    watch_openings(daemon, now, server);
     let (server, workspace) = (server.clone(), workspace.clone());
     fx.backend(name, Call::Open { server, address, database, workspace });
 }
@@ -404,6 +438,7 @@
 
 /// Closes idle connections that exceed the share or lead to a server that leaves.
 pub fn on_surplus(daemon: &mut Daemon, now: Now, fx: &mut Effects, server: &id::Server) {
+    spare(daemon, now, fx, server);
     pump(daemon, now, fx, server);
     let draining = daemon.directory.get(server).is_none_or(|entry| entry.draining);
     let kept = if draining { 0 } else { share_of(daemon, server).kept };
@@ -478,6 +513,35 @@
     pump(daemon, now, fx, &server);
 }
 
+/// Has the pool looked at when an opening becomes overdue.
+fn watch_openings(daemon: &mut Daemon, now: Now, server: &id::Server) {
+    let due = daemon.pools.get(server).and_then(|pool| doubt::due(daemon, now, pool));
+    if let Some(due) = due {
+        daemon.timers.arm_by(timer::Key::Surplus(server.clone()), due);
+    }
+}
+
+/// Sends the waiting statements of a server in doubt elsewhere that another server can run.
+fn spare(daemon: &mut Daemon, now: Now, fx: &mut Effects, server: &id::Server) {
+    watch_openings(daemon, now, server);
+    let Some(pool) = daemon.pools.get(server).filter(|pool| is_doubtful(daemon, now, pool)) else {
+        return;
+    };
+    if !doubt::has_better(daemon, now, server) {
+        return;
+    }
+    let elsewhere = |waiter: &&Waiter| {
+        let entry = daemon.sessions.get(&waiter.session);
+        let request = entry.and_then(|entry| entry.request.as_ref());
+        request.is_some_and(|request| request.need == Need::Recent)
+    };
+    let spared: Vec<_> = pool.waiting.iter().filter(elsewhere).map(|it| it.session).collect();
+    for session in spared {
+        withdraw(daemon, server, session);
+        request::on_unserved(daemon, now, fx, session, server);
+    }
+}
+
 /// Sends the waiting statements of a server elsewhere when it has no connection that could serve
 /// them soon.
 pub fn strand(daemon: &mut Daemon, now: Now, fx: &mut Effects, server: &id::Server) {
--- a/crates/gcl-direct/src/pool/share.rs
+++ b/crates/gcl-direct/src/pool/share.rs
@@ -20,6 +20,9 @@
 const SHARED_PERCENT: usize = 50;
 /// Part of a server's connections that its home keeps, in percent.
 const HOME_PERCENT: usize = 88;
+/// The same for the home of a primary in a fleet of hosts only, which have more need of the rest: each
+/// goes to the primary itself while it does not know the home.
+const PRIMARY_HOME_PERCENT: usize = 50;
 
 /// Connections to a server that a daemon may hold.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -51,7 +54,17 @@
 /// rest is a reserve for daemons that do without it.
 #[must_use]
 pub fn share_with_homes(connections: usize, members: usize, is_home: bool) -> Share {
-    let kept = connections * HOME_PERCENT / 100;
+    home_share(connections, members, is_home, HOME_PERCENT)
+}
+
+/// The share for a primary, where only primaries have homes.
+#[must_use]
+pub fn share_of_primary(connections: usize, members: usize, is_home: bool) -> Share {
+    home_share(connections, members, is_home, PRIMARY_HOME_PERCENT)
+}
+
+fn home_share(connections: usize, members: usize, is_home: bool, percent: usize) -> Share {
+    let kept = connections * percent / 100;
     let reserve = (connections - kept) / members.max(1);
     if is_home {
         return Share { kept: kept.max(1), most: (connections - reserve).max(1) };
@@ -74,9 +87,12 @@
     let Some(known) = database.and_then(|database| config?.databases.get(database)) else {
         return share(1, 1, 0);
     };
+    let (members, is_home) = (daemon.members.len(), home::carries(daemon, server));
     if home::in_use(daemon) {
-        let is_home = home::carries(daemon, server);
-        return share_with_homes(known.connections, daemon.members.len(), is_home);
+        return share_with_homes(known.connections, members, is_home);
+    }
+    if home::has_home(daemon, server) {
+        return share_of_primary(known.connections, members, is_home);
     }
     let own = rendezvous::weight(server, &daemon.settings.daemon);
     let before = daemon.members.keys().filter(|name| rendezvous::weight(server, name) > own);
--- a/crates/gcl-direct/src/queue.rs
+++ b/crates/gcl-direct/src/queue.rs
@@ -37,6 +37,26 @@
     slots + slots.div_ceil(2)
 }
 
+/// Those whose time does not suffice, of waiters in the order in which they are served, with the wait
+/// that each would have. Whoever is passed over makes room for the next.
+pub fn late(
+    times: impl Iterator<Item = Duration>,
+    turn: Duration,
+    lanes: usize,
+) -> Vec<(usize, Duration)> {
+    let mut ahead = 0;
+    let mut late = Vec::new();
+    for (place, time) in times.enumerate() {
+        let wait = expected_wait(ahead, turn, lanes);
+        if wait > time {
+            late.push((place, wait));
+        } else {
+            ahead += 1;
+        }
+    }
+    late
+}
+
 /// How long a statement that comes now is expected to wait; one whose time is shorter is refused at
 /// once.
 ///
--- a/crates/gcl-direct/src/request/attempt.rs
+++ b/crates/gcl-direct/src/request/attempt.rs
@@ -62,7 +62,7 @@
         let primary = home::site(daemon, &database).primary;
         primary.is_some_and(|domain| daemon.settings.distance(&domain) > 1)
     };
-    if far {
+    if far || !(home::in_use(daemon) || daemon.home.carries(&database)) {
         feed::want(daemon, now, &database);
     }
     Some(match seen {
@@ -132,8 +132,17 @@
         let fault = Fault::new(Code::NoReplica, "no recent position of the primary is known");
         return elsewhere(daemon, now, fx, session, fault.retry_after(BUSY_RETRY));
     }
+    if need == Need::Recent
+        && let Some(request) = super::of(daemon, session)
+    {
+        let database = request.route.database.clone();
+        probe(daemon, now, fx, &database);
+    }
     match choose(daemon, now, session, need) {
-        Ok(server) => queue_at(daemon, now, fx, session, &server),
+        Ok(server) => match forward::to_home_of(daemon, now, session, &server) {
+            Some(host) => forward::send(daemon, now, fx, session, &host),
+            None => queue_at(daemon, now, fx, session, &server),
+        },
         Err(fault) => elsewhere(daemon, now, fx, session, fault),
     }
 }
@@ -146,7 +155,7 @@
     };
     let reads = entry.request.as_ref().is_some_and(|request| request.need == Need::Recent);
     let guest = entry.guest.is_some();
-    let may_pass = home::in_use(daemon)
+    let may_pass = (home::in_use(daemon) || guest)
         && (reads || fault.code == Code::ServerLost || !right::holds(daemon, now));
     if may_pass && guest {
         return refuse(daemon, now, fx, session, fault);
@@ -175,7 +184,7 @@
         return primary.and_then(|server| reached(daemon, now, server));
     }
     let leader = primary.ok();
-    let mut candidates = Vec::new();
+    let (mut candidates, mut doubtful) = (Vec::new(), Vec::new());
     for (server, known) in directory::servers(&daemon.directory, database) {
         let pool = daemon.pools.get(server);
         let failed = pool.is_some_and(|pool| now.mono < pool.failed_until.max(pool.busy_until));
@@ -186,7 +195,9 @@
         if far || known.draining || failed || behind || request.avoided.contains(server) {
             continue;
         }
-        candidates.push(Candidate {
+        let doubted = pool.is_some_and(|pool| pool::is_doubtful(daemon, now, pool));
+        let list = if doubted { &mut doubtful } else { &mut candidates };
+        list.push(Candidate {
             server,
             leads,
             distance: daemon.settings.distance(&known.domain),
@@ -195,13 +206,26 @@
             latency: pool.map_or_else(|| pool::Pool::default().latency, |pool| pool.latency),
         });
     }
-    place::choose(need, &candidates).cloned().ok_or_else(none)
+    // One in doubt is better than none.
+    let best = place::choose(need, &candidates).or_else(|| place::choose(need, &doubtful));
+    best.cloned().ok_or_else(none)
+}
+
+/// Finds out whether servers of a database that failed answer again.
+fn probe(daemon: &mut Daemon, now: Now, fx: &mut Effects, database: &id::Database) {
+    let failing = directory::servers(&daemon.directory, database).filter(|(server, _)| {
+        daemon.pools.get(*server).is_some_and(|pool| pool.health.failing.is_some())
+    });
+    let failing: Vec<_> = failing.map(|(server, _)| server.clone()).collect();
+    for server in failing {
+        pool::ask(daemon, now, fx, &server);
+    }
 }
 
 /// A primary that this daemon reaches. Where there are homes, another one may where this one does not.
 fn reached(daemon: &Daemon, now: Now, server: id::Server) -> Result<id::Server> {
     let health = daemon.pools.get(&server).map(|pool| pool.health).unwrap_or_default();
-    if home::in_use(daemon) && failover::is_failing(health, now.mono) {
+    if home::has_home(daemon, &server) && failover::is_failing(health, now.mono) {
         let fault = Fault::new(Code::ServerLost, "the primary does not answer");
         return Err(fault.retry_after(BUSY_RETRY));
     }
@@ -234,14 +258,25 @@
         target: request.arrived + request.route.target_latency,
     };
     let remaining = request.wait_until.saturating_sub(now.mono);
-    let wait = pool::expected_wait(daemon, server, &waiter.workspace);
+    let wait = pool::expected_wait(daemon, now, server, &waiter);
     if wait > remaining {
-        let fault = Fault::new(Code::QueueFull, "the queue is longer than the time left");
-        return refuse(daemon, now, fx, session, fault.retry_after(wait));
+        return on_shed(daemon, now, fx, session, wait);
     }
     pool::enqueue(daemon, now, fx, server, waiter);
 }
 
+/// Refuses a statement that would wait for too long.
+pub fn on_shed(
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    session: id::Session,
+    wait: Duration,
+) {
+    let fault = Fault::new(Code::QueueFull, "the queue is longer than the time left");
+    refuse(daemon, now, fx, session, fault.retry_after(wait));
+}
+
 /// Tries again later while there is hope within the statement's time, and refuses it otherwise.
 fn wait_or_refuse(
     daemon: &mut Daemon,
--- a/crates/gcl-direct/src/request/mod.rs
+++ b/crates/gcl-direct/src/request/mod.rs
@@ -10,7 +10,7 @@
 mod run;
 
 pub use self::{
-    attempt::{attempt, on_leader, on_retry, on_unserved},
+    attempt::{attempt, on_leader, on_retry, on_shed, on_unserved},
     outcome::{drop_server, on_answer, on_closed, on_lost},
     run::{drive, on_connection, on_prepared},
 };
--- a/crates/gcl-direct/src/session/mod.rs
+++ b/crates/gcl-direct/src/session/mod.rs
@@ -22,6 +22,7 @@
     effect::Effects,
     forward, gossip,
     guest::{self, Guest},
+    home,
     line::Line,
     pool,
     request::{self, Admission, Order, Request},
@@ -382,7 +383,7 @@
         }
         Transaction::Open(open) => Admission::to(&open.route, open.admitted),
         Transaction::None => match &entry.guest_route {
-            Some(route) => Admission::to(route, false),
+            Some(route) => Admission::to(route, !home::in_use(daemon)),
             None => return,
         },
     };
--- a/crates/gcl-direct/tests/direct/era.rs
+++ b/crates/gcl-direct/tests/direct/era.rs
@@ -36,7 +36,7 @@
 fn run_to_intention(world: &mut World) {
     let sessions: Vec<_> =
         (0..world.nodes.len()).map(|daemon| world.login(daemon, "latest", "key")).collect();
-    for _ in 0..2000 {
+    for _ in 0..10_000 {
         if world.item(&group::key(DATABASE)).is_some() {
             return;
         }
@@ -44,7 +44,7 @@
             world.take(*session);
             world.send(*session, "WRITE x 1");
         }
-        world.run(5);
+        world.run(1);
     }
     panic!("no intention was written");
 }
--- a/crates/gcl-direct/tests/direct/main.rs
+++ b/crates/gcl-direct/tests/direct/main.rs
@@ -20,6 +20,7 @@
 mod observation;
 mod place;
 mod pool;
+mod primary;
 mod queue;
 mod request;
 mod session;
--- /dev/null
+++ b/crates/gcl-direct/tests/direct/primary.rs
@@ -0,0 +1,166 @@
+//! Statements for primaries in a fleet of hosts only: they go to the primary's home.
+
+use super::world::{DATABASE, World, bounds};
+use gcl_core::{code::Code, id};
+use gcl_direct::pool;
+
+/// Daemons of the fleet; the callers of all of them write.
+const DAEMONS: usize = 8;
+
+fn fleet() -> World {
+    let mut world = World::new(DAEMONS);
+    world.run(2000);
+    world
+}
+
+fn sessions(world: &mut World) -> Vec<(usize, id::Session)> {
+    (0..DAEMONS).map(|daemon| world.login(daemon, "latest", "key")).collect()
+}
+
+fn home(world: &World) -> usize {
+    let carries = |it: &usize| world.nodes[*it].up && world.nodes[*it].state.home.carries(DATABASE);
+    (0..DAEMONS).find(carries).expect("the primary has a home")
+}
+
+fn connections(world: &World, server: &str) -> usize {
+    let pools = world.nodes.iter().filter_map(|node| node.state.pools.get(server));
+    pools.map(|pool| pool.connections.len()).sum()
+}
+
+/// The load: callers everywhere write a little. Each daemon used to hold connections to the primary of
+/// its own, most of which were opened for one statement.
+#[test]
+fn writes_of_all_daemons_share_the_connections_of_one() {
+    let mut world = fleet();
+    let sessions = sessions(&mut world);
+    for _ in 0..5 {
+        for session in &sessions {
+            world.query(*session, "WRITE 1 x").expect("it is written");
+        }
+    }
+    assert!(connections(&world, "a") <= 2, "{} connections", connections(&world, "a"));
+    assert_eq!(world.ran("a", "WRITE 1 x"), 5 * DAEMONS);
+}
+
+#[test]
+fn a_transaction_stays_at_the_home() {
+    let mut world = fleet();
+    let sessions = sessions(&mut world);
+    for session in &sessions {
+        world.query(*session, "BEGIN").expect("it begins");
+        world.query(*session, "WRITE 1 x").expect("it is written");
+    }
+    let pool = &world.nodes[home(&world)].state.pools["a"];
+    assert_eq!(pool.connections.len(), DAEMONS, "one for each transaction");
+    for session in &sessions {
+        world.query(*session, "COMMIT").expect("it commits");
+    }
+}
+
+#[test]
+fn a_home_that_dies_is_replaced_and_nothing_is_written_twice() {
+    let mut world = fleet();
+    let sessions = sessions(&mut world);
+    for session in &sessions {
+        world.query(*session, "WRITE 1 x").expect("it is written");
+    }
+    let dead = home(&world);
+    world.kill(dead);
+    world.run(50);
+    for session in sessions.iter().filter(|(daemon, _)| *daemon != dead) {
+        world.query(*session, "WRITE 2 x").expect("another home takes it");
+    }
+    assert_eq!(world.ran("a", "WRITE 2 x"), DAEMONS - 1);
+}
+
+#[test]
+fn a_home_that_is_cut_off_from_the_primary_is_passed_over() {
+    let mut world = fleet();
+    let sessions = sessions(&mut world);
+    for session in &sessions {
+        world.query(*session, "WRITE 1 x").expect("it is written");
+    }
+    let home = home(&world);
+    world.nodes[home].unreachable.insert("a".into());
+    world.run(200);
+    let others: Vec<_> = sessions.iter().filter(|(daemon, _)| *daemon != home).copied().collect();
+    let mut served = 0;
+    for round in 0..6 {
+        for session in &others {
+            served += usize::from(world.query(*session, "READ 1").is_ok());
+        }
+        assert!(round < 3 || served > 0, "nobody was served");
+    }
+    for session in &others {
+        world.query(*session, "WRITE 2 x").expect("another daemon reaches the primary");
+    }
+    assert!(world.promotions.is_empty(), "the primary is not moved for one daemon's cut");
+}
+
+#[test]
+fn an_operation_counts_once_in_its_workspaces_rate() {
+    let mut world = fleet();
+    let session = world.login(0, "latest", "key");
+    for _ in 0..10 {
+        world.query(session, "WRITE 1 x").expect("it is written");
+    }
+    let (bounds, mut asked) = (bounds(), 0.0);
+    for daemon in 0..DAEMONS {
+        let now = world.now(daemon);
+        let demands = world.nodes[daemon].state.limit.demands(now.mono, &bounds);
+        asked += demands.map(|(_, demand)| demand.asked).sum::<f64>();
+    }
+    assert!((asked - 10.0).abs() < 0.01, "{asked} operations were counted");
+}
+
+/// The load: a replica that falls silent while its queue and its latency still look good. Reads used to
+/// wait there until their time was over.
+#[test]
+fn reads_leave_a_replica_that_does_not_open_connections() {
+    let mut world = fleet();
+    let writer = world.login(0, "latest", "key");
+    world.query(writer, "WRITE 1 x").expect("it is written");
+    world.replicate();
+    world.run(300);
+    for node in &mut world.nodes {
+        node.unreachable.insert("b".into());
+    }
+    let readers: Vec<_> = (0..DAEMONS).map(|it| world.login(it, "bounded", "key")).collect();
+    for round in 0..10 {
+        for reader in &readers {
+            let begun = world.now_ms;
+            world.query(*reader, "READ 1").expect("another server can run it");
+            let took = world.now_ms - begun;
+            assert!(took < 400, "round {round}: it took {took} ms");
+        }
+    }
+}
+
+#[test]
+fn a_primary_that_is_moved_has_no_home() {
+    let mut world = fleet();
+    let sessions = sessions(&mut world);
+    for session in &sessions {
+        world.query(*session, "WRITE 1 x").expect("it is written");
+    }
+    world.crash("a");
+    let fault = world.query(sessions[0], "WRITE 2 x").expect_err("the primary is gone");
+    assert!(fault.code.not_run() || fault.code == Code::OutcomeUnknown, "{fault}");
+    for _ in 0..20 {
+        for session in &sessions {
+            let _ = world.query(*session, "READ 1");
+        }
+    }
+    for session in &sessions {
+        world.query(*session, "WRITE 3 x").expect("the next primary has a home");
+    }
+}
+
+#[test]
+fn a_primarys_home_leaves_half_of_the_connections_free() {
+    let shares = [true, false].map(|is_home| pool::share_of_primary(21, DAEMONS, is_home));
+    assert_eq!((shares[0].kept, shares[1].kept), (10, 0));
+    assert!(shares[1].most >= 1, "a daemon that does not know the home can do without");
+    let all = shares[0].most + (DAEMONS - 1) * shares[1].most;
+    assert!(all <= 21 + DAEMONS, "{all} connections");
+}
