--- a/crates/gcl-direct/src/failover/mod.rs
+++ b/crates/gcl-direct/src/failover/mod.rs
@@ -9,13 +9,18 @@
 
 mod attempt;
 mod evidence;
+mod restate;
 
 pub use self::{
     attempt::on_promoted,
     evidence::{Cause, Evidence, Successor, is_agreed, is_failing, is_silent, successor},
+    restate::on_era,
 };
 
-use self::attempt::{Attempt, advance};
+use self::{
+    attempt::{Attempt, advance},
+    restate::{confirmed, restate},
+};
 use crate::{
     directory::{self, Entry},
     effect::Effects,
@@ -311,50 +316,6 @@
     fx.store(Call::Write { call, key: group::key(database), expected, value, lease: 0 });
 }
 
-/// Writes an intention again that a copy of the store lacks, in its old place in the order, so that
-/// daemons that start later know of it.
-fn restate(daemon: &mut Daemon, now: Now, fx: &mut Effects, database: &id::Database) {
-    let rank = rank(daemon, database);
-    let Some(group) = daemon.groups.get(database) else {
-        return;
-    };
-    let lacking =
-        group.moved.as_ref().filter(|it| is_former(daemon, it) && group.held < it.revision);
-    let Some(moved) = lacking.filter(|_| daemon.follow.complete()) else {
-        return;
-    };
-    let (intention, order, expected) = (moved.intention.clone(), moved.revision, group.written);
-    let due = daemon.era.restating_at() + RANK_STEP * rank;
-    if now.mono < due || watch_of(daemon, database).call.is_some() {
-        return daemon
-            .timers
-            .arm_by(timer::Key::Failover(database.clone()), due.max(now.mono + STEP));
-    }
-    fx.log(Line::belief("intention written again").with("database", database).with("order", order));
-    let record = group::Record { intention, era: era::of(order), order };
-    write(daemon, fx, database, &record, expected);
-}
-
-/// Forgets what is under way in the store's earlier era.
-pub fn on_era(daemon: &mut Daemon) {
-    for watch in daemon.failover.watches.values_mut() {
-        (watch.call, watch.attempt) = (None, None);
-    }
-}
-
-/// The server that took over by a move that a copy of the store lacks: the only one that registers
-/// itself as primary, once all had the time to do so.
-fn confirmed(daemon: &Daemon, now: Now, database: &id::Database) -> Option<Successor> {
-    let moved = daemon.groups.get(database)?.moved.as_ref()?;
-    if !is_former(daemon, moved) || !era::is_settled(daemon, now) {
-        return None;
-    }
-    let servers = directory::servers(&daemon.directory, database);
-    let mut leaders = servers.filter(|(_, entry)| entry.leads && !entry.draining);
-    let (server, entry) = leaders.next().filter(|_| leaders.next().is_none())?;
-    Some(candidate(daemon, now, server, entry))
-}
-
 fn candidate(daemon: &Daemon, now: Now, server: &id::Server, entry: &Entry) -> Successor {
     let pool = daemon.pools.get(server);
     let failed =
--- a/crates/gcl-direct/src/follow.rs
+++ b/crates/gcl-direct/src/follow/mod.rs
@@ -5,20 +5,25 @@
 //! An entry of a server that lapses during or right after an outage of the store is kept until the
 //! server had the time to register itself again.
 
+mod own;
+mod server;
+
+pub use self::server::on_missing;
+
+use self::{own::on_own, server::on_servers};
 use crate::{
     config::Config,
-    directory::Entry,
     effect::Effects,
-    era, failover, group, home, lease, limit,
+    era, failover, home, limit,
     line::Line,
-    member, pool, request, right,
+    member,
     role::{self, Role},
     session,
-    state::{Member, State as Daemon},
-    store::{Answer, Call, Contents, Event, Failure, Item, Result, Topic},
+    state::State as Daemon,
+    store::{Answer, Call, Contents, Event, Failure, Result, Topic},
     timer,
 };
-use gcl_core::{code::Fault, id, time::Now};
+use gcl_core::{id, time::Now};
 use indexmap::{IndexMap, IndexSet};
 use std::{sync::Arc, time::Duration};
 
@@ -41,13 +46,9 @@
 const START_PAUSE: Duration = Duration::from_millis(1500);
 /// Age of a daemon up to which its deployment may be starting.
 const START: Duration = Duration::from_secs(5);
-/// How long a lapsed entry is kept after the store was away: servers are back within two seconds.
-const LAPSED_KEPT: Duration = Duration::from_millis(2500);
 
 /// Mean time before a topic is read again, for each daemon that is listed and reads it as well.
 const REREAD_STEP: Duration = Duration::from_millis(2);
-/// Servers that are remembered as gone.
-const MOST_GONE: usize = 256;
 
 /// How long a daemon counts that is no longer listed.
 pub const RECENT: Duration = Duration::from_secs(12);
@@ -306,234 +307,3 @@
     daemon.config = Some(config);
     session::on_config(daemon, now, fx);
 }
-
-fn on_servers(
-    daemon: &mut Daemon,
-    now: Now,
-    fx: &mut Effects,
-    entries: Vec<(id::Server, Option<std::result::Result<Entry, Fault>>)>,
-    whole: bool,
-) {
-    if whole {
-        let listed = |server: &id::Server| entries.iter().any(|(name, _)| name == server);
-        let gone: Vec<_> = daemon.directory.keys().filter(|name| !listed(name)).cloned().collect();
-        for server in gone {
-            remove(daemon, now, fx, &server);
-        }
-    }
-    for (server, entry) in entries {
-        match entry {
-            Some(Ok(entry)) if whole && is_outdated(daemon, now, &server, &entry) => {
-                let line = Line::belief("server entry outdated").with("server", &server);
-                fx.log(line.with("revision", entry.revision));
-            }
-            Some(Ok(entry)) => put(daemon, now, fx, &server, entry),
-            Some(Err(fault)) => {
-                let line = Line::belief("server entry refused").with("server", &server);
-                fx.log(line.with("fault", fault));
-                remove(daemon, now, fx, &server);
-            }
-            None => remove(daemon, now, fx, &server),
-        }
-    }
-    failover::review_all(daemon, now, fx);
-}
-
-/// Whether an entry tells less than is known: the store came back from a copy a moment ago, and the
-/// server has not written it again yet.
-fn is_outdated(daemon: &Daemon, now: Now, server: &id::Server, entry: &Entry) -> bool {
-    if era::is_restored(daemon, now) {
-        return false;
-    }
-    let gone = daemon.follow.gone.get(server).is_some_and(|started| entry.started_ms <= *started);
-    let known = daemon.directory.get(server);
-    gone || known.is_some_and(|known| {
-        let undone = known.draining && !entry.draining && entry.started_ms == known.started_ms;
-        entry.started_ms < known.started_ms || undone
-    })
-}
-
-fn put(daemon: &mut Daemon, now: Now, fx: &mut Effects, server: &id::Server, entry: Entry) {
-    daemon.follow.missing.swap_remove(server);
-    daemon.follow.gone.swap_remove(server);
-    let before = daemon.directory.get(server);
-    let restarted = before.is_some_and(|before| {
-        before.started_ms != entry.started_ms || before.address != entry.address
-    });
-    let changed = before.is_none_or(|before| {
-        (before.draining, before.leads) != (entry.draining, entry.leads) || restarted
-    });
-    if changed {
-        let line = Line::belief("server seen").with("server", server);
-        let line = line.with("database", &entry.database).with("domain", &entry.domain);
-        let line = line.with("draining", entry.draining).with("leads", entry.leads);
-        fx.log(line.with("revision", entry.revision).with("restarted", restarted));
-    }
-    let (database, leads, draining) = (entry.database.clone(), entry.leads, entry.draining);
-    daemon.directory.insert(server.clone(), entry);
-    daemon.groups.entry(database.clone()).or_default();
-    if restarted {
-        daemon.pools.entry(server.clone()).or_default().failed_until = now.mono;
-        request::drop_server(daemon, now, fx, server, "the server started again");
-    }
-    if draining {
-        pool::on_surplus(daemon, now, fx, server);
-    }
-    if leads && changed {
-        request::on_leader(daemon, now, fx, &database);
-    }
-}
-
-fn remove(daemon: &mut Daemon, now: Now, fx: &mut Effects, server: &id::Server) {
-    if !daemon.directory.contains_key(server) {
-        return;
-    }
-    let disturbed = daemon.follow.failed.is_some_and(|at| now.since(at) < LAPSED_KEPT);
-    if disturbed && !daemon.follow.missing.contains_key(server) {
-        let until = now.mono + LAPSED_KEPT;
-        daemon.follow.missing.insert(server.clone(), until);
-        daemon.timers.arm_by(timer::Key::Missing, until);
-        fx.log(Line::belief("server entry lapsed").with("server", server));
-    } else if !disturbed {
-        forget(daemon, now, fx, server);
-    }
-}
-
-fn forget(daemon: &mut Daemon, now: Now, fx: &mut Effects, server: &id::Server) {
-    daemon.follow.missing.swap_remove(server);
-    fx.log(Line::belief("server gone").with("server", server));
-    request::drop_server(daemon, now, fx, server, "the server is gone");
-    if let Some(entry) = daemon.directory.swap_remove(server) {
-        if daemon.follow.gone.len() >= MOST_GONE {
-            daemon.follow.gone.shift_remove_index(0);
-        }
-        daemon.follow.gone.insert(server.clone(), entry.started_ms);
-    }
-    daemon.pools.swap_remove(server);
-}
-
-/// Takes servers as gone whose entries have not come back; while the store is away, they are kept.
-pub fn on_missing(daemon: &mut Daemon, now: Now, fx: &mut Effects) {
-    let away = daemon.follow.topics.get(&Topic::Servers).is_some_and(|it| it.failing.is_some());
-    let due = daemon.follow.missing.iter().filter(|(_, until)| **until <= now.mono);
-    let due: Vec<_> = due.map(|(server, _)| server.clone()).collect();
-    for server in due {
-        if away {
-            daemon.follow.missing.insert(server, now.mono + LAPSED_KEPT);
-        } else {
-            forget(daemon, now, fx, &server);
-        }
-    }
-    if let Some(next) = daemon.follow.missing.values().min() {
-        daemon.timers.arm_by(timer::Key::Missing, *next);
-    }
-    failover::review_all(daemon, now, fx);
-}
-
-fn on_own(daemon: &mut Daemon, now: Now, fx: &mut Effects, items: Vec<Item>, whole: bool) {
-    if whole {
-        on_unlisted(daemon, now, &items);
-    }
-    for item in items {
-        if let Some(name) = item.key.strip_prefix(lease::PREFIX) {
-            on_member(daemon, now, fx, &id::Daemon::from(name), &item);
-        } else if item.key == role::MARK {
-            role::on_mark(daemon, now, item.value.is_some());
-        } else if item.key == era::MARK {
-            era::on_mark(daemon, item.value.as_deref(), item.revision);
-        } else if let Some(database) = item.key.strip_prefix(group::PREFIX) {
-            on_intention(daemon, now, fx, &id::Database::from(database), &item);
-        }
-    }
-    role::on_members(daemon, now, fx, whole);
-    failover::review_all(daemon, now, fx);
-}
-
-/// Takes note of what a reading of the own keys lacks. Daemons whose keys a copy of the store lacks
-/// have the time to write them again.
-fn on_unlisted(daemon: &mut Daemon, now: Now, items: &[Item]) {
-    let listed = |key: &str| items.iter().any(|item| item.key == key);
-    if era::is_restored(daemon, now) {
-        let members = daemon.members.keys().filter(|name| !listed(&lease::key(name)));
-        let gone: Vec<_> = members.cloned().collect();
-        for name in gone {
-            daemon.members.swap_remove(&name);
-            daemon.follow.list(now, &name, false);
-        }
-    }
-    if !listed(&lease::key(&daemon.settings.daemon)) {
-        daemon.lease.revision = 0;
-    }
-    for (database, group) in &mut daemon.groups {
-        if !listed(&group::key(database)) {
-            (group.written, group.held) = (0, 0);
-        }
-    }
-}
-
-fn on_member(daemon: &mut Daemon, now: Now, fx: &mut Effects, name: &id::Daemon, item: &Item) {
-    if *name == daemon.settings.daemon {
-        daemon.lease.revision = item.value.as_ref().map_or(0, |_| item.revision);
-    }
-    let Some(value) = &item.value else {
-        daemon.follow.list(now, name, false);
-        if daemon.members.swap_remove(name).is_some() {
-            fx.log(Line::belief("daemon gone").with("member", name));
-        }
-        return;
-    };
-    match serde_json::from_slice::<lease::Record>(value) {
-        Ok(record) => {
-            let before = daemon.members.get(name).map(|known| known.record.incarnation);
-            if before != Some(record.incarnation) {
-                let line = Line::belief("daemon seen").with("member", name);
-                fx.log(line.with("incarnation", record.incarnation));
-            }
-            let (lease, revision) = (item.lease, item.revision);
-            daemon.members.insert(name.clone(), Member { record, lease, revision });
-            daemon.follow.list(now, name, true);
-        }
-        Err(error) => {
-            let line = Line::belief("daemon key unreadable").with("member", name);
-            fx.log(line.with("error", error));
-        }
-    }
-}
-
-fn on_intention(
-    daemon: &mut Daemon,
-    now: Now,
-    fx: &mut Effects,
-    database: &id::Database,
-    item: &Item,
-) {
-    let Some(value) = &item.value else {
-        return;
-    };
-    let record: group::Record = match serde_json::from_slice(value) {
-        Ok(record) => record,
-        Err(error) => {
-            let line = Line::belief("intention unreadable").with("database", database);
-            return fx.log(line.with("error", error));
-        }
-    };
-    let awaited = right::holds_own(daemon, now);
-    let order = record.order(item.revision);
-    let group = daemon.groups.entry(database.clone()).or_default();
-    if item.revision >= group.written {
-        (group.written, group.held) = (item.revision, order);
-    }
-    if group.moved.as_ref().is_some_and(|known| known.revision >= order) {
-        return;
-    }
-    let intention = record.intention;
-    let line = Line::belief("primary to be moved").with("database", database);
-    let line = line.with("from", &intention.from).with("to", &intention.to);
-    let line = line.with("by", &intention.by).with("planned", intention.planned);
-    fx.log(line.with("revision", order));
-    group.learn(intention, order, now.mono, awaited);
-    failover::on_intention(daemon, now, database);
-    if right::primary(daemon, now, database).is_ok() {
-        request::on_leader(daemon, now, fx, database);
-    }
-}
--- /dev/null
+++ b/crates/gcl-direct/src/follow/own.rs
@@ -0,0 +1,126 @@
+//! The daemons' own keys: who is listed, which primaries are to be moved, and marks.
+
+use crate::{
+    effect::Effects,
+    era, failover, group, lease,
+    line::Line,
+    request, right, role,
+    state::{Member, State as Daemon},
+    store::Item,
+};
+use gcl_core::{id, time::Now};
+
+/// Takes own keys as they were read, all of them or those that changed.
+pub(super) fn on_own(
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    items: Vec<Item>,
+    whole: bool,
+) {
+    if whole {
+        on_unlisted(daemon, now, &items);
+    }
+    for item in items {
+        if let Some(name) = item.key.strip_prefix(lease::PREFIX) {
+            on_member(daemon, now, fx, &id::Daemon::from(name), &item);
+        } else if item.key == role::MARK {
+            role::on_mark(daemon, now, item.value.is_some());
+        } else if item.key == era::MARK {
+            era::on_mark(daemon, item.value.as_deref(), item.revision);
+        } else if let Some(database) = item.key.strip_prefix(group::PREFIX) {
+            on_intention(daemon, now, fx, &id::Database::from(database), &item);
+        }
+    }
+    role::on_members(daemon, now, fx, whole);
+    failover::review_all(daemon, now, fx);
+}
+
+/// Takes note of what a reading of the own keys lacks. Daemons whose keys a copy of the store lacks
+/// have the time to write them again.
+fn on_unlisted(daemon: &mut Daemon, now: Now, items: &[Item]) {
+    let listed = |key: &str| items.iter().any(|item| item.key == key);
+    if era::is_restored(daemon, now) {
+        let members = daemon.members.keys().filter(|name| !listed(&lease::key(name)));
+        let gone: Vec<_> = members.cloned().collect();
+        for name in gone {
+            daemon.members.swap_remove(&name);
+            daemon.follow.list(now, &name, false);
+        }
+    }
+    if !listed(&lease::key(&daemon.settings.daemon)) {
+        daemon.lease.revision = 0;
+    }
+    for (database, group) in &mut daemon.groups {
+        if !listed(&group::key(database)) {
+            (group.written, group.held) = (0, 0);
+        }
+    }
+}
+
+fn on_member(daemon: &mut Daemon, now: Now, fx: &mut Effects, name: &id::Daemon, item: &Item) {
+    if *name == daemon.settings.daemon {
+        daemon.lease.revision = item.value.as_ref().map_or(0, |_| item.revision);
+    }
+    let Some(value) = &item.value else {
+        daemon.follow.list(now, name, false);
+        if daemon.members.swap_remove(name).is_some() {
+            fx.log(Line::belief("daemon gone").with("member", name));
+        }
+        return;
+    };
+    match serde_json::from_slice::<lease::Record>(value) {
+        Ok(record) => {
+            let before = daemon.members.get(name).map(|known| known.record.incarnation);
+            if before != Some(record.incarnation) {
+                let line = Line::belief("daemon seen").with("member", name);
+                fx.log(line.with("incarnation", record.incarnation));
+            }
+            let (lease, revision) = (item.lease, item.revision);
+            daemon.members.insert(name.clone(), Member { record, lease, revision });
+            daemon.follow.list(now, name, true);
+        }
+        Err(error) => {
+            let line = Line::belief("daemon key unreadable").with("member", name);
+            fx.log(line.with("error", error));
+        }
+    }
+}
+
+fn on_intention(
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    database: &id::Database,
+    item: &Item,
+) {
+    let Some(value) = &item.value else {
+        return;
+    };
+    let record: group::Record = match serde_json::from_slice(value) {
+        Ok(record) => record,
+        Err(error) => {
+            let line = Line::belief("intention unreadable").with("database", database);
+            return fx.log(line.with("error", error));
+        }
+    };
+    let awaited = right::holds_own(daemon, now);
+    let order = record.order(item.revision);
+    let group = daemon.groups.entry(database.clone()).or_default();
+    if item.revision >= group.written {
+        (group.written, group.held) = (item.revision, order);
+    }
+    if group.moved.as_ref().is_some_and(|known| known.revision >= order) {
+        return;
+    }
+    let intention = record.intention;
+    let line = Line::belief("primary to be moved").with("database", database);
+    let line = line.with("from", &intention.from).with("to", &intention.to);
+    let line = line.with("by", &intention.by).with("planned", intention.planned);
+    fx.log(line.with("revision", order));
+    group.learn(intention, order, now.mono, awaited);
+    failover::on_intention(daemon, now, database);
+    if right::primary(daemon, now, database).is_ok() {
+        request::on_leader(daemon, now, fx, database);
+    }
+}
--- a/crates/gcl-soak/src/run.rs
+++ b/crates/gcl-soak/src/run.rs
@@ -167,14 +167,7 @@
                 sleep(step.length).await;
                 store.set_away(false);
             }
-            Fault::StoreReturns => {
-                let store = self.deployment.lock().await.store.clone();
-                let copy = store.copy();
-                sleep(step.length).await;
-                store.set_away(true);
-                sleep(RETURN).await;
-                store.come_back(copy, WRITTEN_AGAIN).await;
-            }
+            Fault::StoreReturns => self.return_store(step.length).await,
             Fault::Crash(server) => {
                 let group = Arc::clone(&self.deployment.lock().await.group);
                 let id = &self.servers[server].0;
@@ -205,6 +198,16 @@
         Ok(())
     }
 
+    /// Has the store come back from a copy of some age.
+    async fn return_store(&self, age: Duration) {
+        let store = self.deployment.lock().await.store.clone();
+        let copy = store.copy();
+        sleep(age).await;
+        store.set_away(true);
+        sleep(RETURN).await;
+        store.come_back(copy, WRITTEN_AGAIN).await;
+    }
+
     fn proxy(&self, way: Way) -> &Proxy {
         match way {
             Way::Callers(daemon) => &self.callers[daemon],
