--- a/crates/gcl-direct/src/pool/mod.rs
+++ b/crates/gcl-direct/src/pool/mod.rs
@@ -5,20 +5,18 @@
 //! closed as soon as it has rested for a moment. A connection carries one workspace, so where a workspace has none, an
 //! idle one of another workspace makes room.
 
-mod doubt;
 mod health;
 mod relief;
 mod share;
 
 pub use self::{
-    doubt::is_doubtful,
     health::Health,
     relief::strand,
     share::{Share, share, share_of_primary, share_with_homes},
 };
 
 use self::{
-    relief::{shed, spare, watch_openings},
+    relief::shed,
     share::{most_opening, most_running, share_of},
 };
 use crate::{
@@ -315,7 +313,6 @@
     daemon.connections.insert(name, connection);
     daemon.pools.entry(server.clone()).or_default().connections.insert(name);
     fx.count("gcl_backend_opened", server);
-    watch_openings(daemon, now, server);
     let (server, workspace) = (server.clone(), workspace.clone());
     fx.backend(name, Call::Open { server, address, database, workspace });
 }
@@ -420,7 +417,6 @@
 
 /// Closes idle connections that exceed the share or lead to a server that leaves.
 pub fn on_surplus(daemon: &mut Daemon, now: Now, fx: &mut Effects, server: &id::Server) {
-    spare(daemon, now, fx, server);
     pump(daemon, now, fx, server);
     let draining = daemon.directory.get(server).is_none_or(|entry| entry.draining);
     let kept = if draining { 0 } else { share_of(daemon, server).kept };
--- a/crates/gcl-direct/src/request/attempt.rs
+++ b/crates/gcl-direct/src/request/attempt.rs
@@ -132,12 +132,6 @@
         let fault = Fault::new(Code::NoReplica, "no recent position of the primary is known");
         return elsewhere(daemon, now, fx, session, fault.retry_after(BUSY_RETRY));
     }
-    if need == Need::Recent
-        && let Some(request) = super::of(daemon, session)
-    {
-        let database = request.route.database.clone();
-        probe(daemon, now, fx, &database);
-    }
     match choose(daemon, now, session, need) {
         Ok(server) => match forward::to_home_of(daemon, now, session, &server) {
             Some(host) => forward::send(daemon, now, fx, session, &host),
@@ -184,7 +178,7 @@
         return primary.and_then(|server| reached(daemon, now, server));
     }
     let leader = primary.ok();
-    let (mut candidates, mut doubtful) = (Vec::new(), Vec::new());
+    let mut candidates = Vec::new();
     for (server, known) in directory::servers(&daemon.directory, database) {
         let pool = daemon.pools.get(server);
         let failed = pool.is_some_and(|pool| now.mono < pool.failed_until.max(pool.busy_until));
@@ -195,9 +189,7 @@
         if far || known.draining || failed || behind || request.avoided.contains(server) {
             continue;
         }
-        let doubted = pool.is_some_and(|pool| pool::is_doubtful(daemon, now, pool));
-        let list = if doubted { &mut doubtful } else { &mut candidates };
-        list.push(Candidate {
+        candidates.push(Candidate {
             server,
             leads,
             distance: daemon.settings.distance(&known.domain),
@@ -206,20 +198,7 @@
             latency: pool.map_or_else(|| pool::Pool::default().latency, |pool| pool.latency),
         });
     }
-    // One in doubt is better than none.
-    let best = place::choose(need, &candidates).or_else(|| place::choose(need, &doubtful));
-    best.cloned().ok_or_else(none)
-}
-
-/// Finds out whether servers of a database that failed answer again.
-fn probe(daemon: &mut Daemon, now: Now, fx: &mut Effects, database: &id::Database) {
-    let failing = directory::servers(&daemon.directory, database).filter(|(server, _)| {
-        daemon.pools.get(*server).is_some_and(|pool| pool.health.failing.is_some())
-    });
-    let failing: Vec<_> = failing.map(|(server, _)| server.clone()).collect();
-    for server in failing {
-        pool::ask(daemon, now, fx, &server);
-    }
+    place::choose(need, &candidates).cloned().ok_or_else(none)
 }
 
 /// A primary that this daemon reaches. Where there are homes, another one may where this one does not.
