fix(request): whoever sends a statement to a server counts it in its workspace's rate

Cause: with homes of primaries in fleets of hosts a daemon counted at its entry and a home took its guests as counted. A home that does not know yet that the fleet has entries (for about eight seconds after a start, with no more than twelve hosts) would have taken an entry's statements as counted as well, and nobody counted them.

Change: nothing is counted at an operation's start any more; the daemon that sends its first statement to a server counts it, in small fleets as in large ones. A read that goes on to a primary's home is counted twice, since the daemon had taken it for its own. The test on counts asks for the home's count now and fails on the code before.

--- a/crates/gcl-direct/src/guest.rs
+++ b/crates/gcl-direct/src/guest.rs
@@ -8,7 +8,6 @@
     caller::Reply,
     drain,
     effect::Effects,
-    home,
     line::Line,
     link::{self, Answer, Begin, Call, Run, Tell},
     session::{self, Open, Session, Transaction},
@@ -97,8 +96,7 @@
     entry.guest_route = Some(Arc::clone(&route));
     if let Some((read_only, age)) = transaction {
         let since = now.mono.saturating_sub(age);
-        entry.transaction =
-            Transaction::Open(Box::new(Open::new(read_only, route, since, !home::in_use(daemon))));
+        entry.transaction = Transaction::Open(Box::new(Open::new(read_only, route, since, false)));
     }
     daemon.sessions.insert(session, entry);
     daemon.guests.insert((guest.link, guest.session), session);
--- a/crates/gcl-direct/src/request/mod.rs
+++ b/crates/gcl-direct/src/request/mod.rs
@@ -19,7 +19,7 @@
     caller::Reply,
     config::Route,
     effect::Effects,
-    forward, gossip, home, limit,
+    forward, gossip, limit,
     line::Line,
     place::Need,
     pool,
@@ -123,18 +123,17 @@
     pub after: Option<Mark>,
 }
 
-/// Admits an operation of a session: its route, and its workspace's rate.
+/// Admits an operation of a session to its route.
 ///
 /// # Errors
 /// The refusal for the caller.
 pub fn admit(
-    daemon: &mut Daemon,
-    now: Now,
+    daemon: &Daemon,
     fx: &mut Effects,
     session: id::Session,
     request: &str,
 ) -> Result<Admission> {
-    let outcome = check(daemon, now, session);
+    let outcome = check(daemon, session);
     if let Err(fault) = &outcome {
         fx.count("gcl_refused", fault.code.text().trim());
         let workspace = daemon.sessions.get(&session).map(|entry| entry.workspace.clone());
@@ -148,19 +147,15 @@
     outcome
 }
 
-/// Where statements go to homes, the home counts them in the workspace's rate.
-fn check(daemon: &mut Daemon, now: Now, session: id::Session) -> Result<Admission> {
+/// The route of an operation. Whoever sends its first statement to a server counts it in the workspace's
+/// rate, be it this daemon or a home.
+fn check(daemon: &Daemon, session: id::Session) -> Result<Admission> {
     let gone = || Fault::new(Code::Protocol, "the session has ended");
     let entry = daemon.sessions.get(&session).ok_or_else(gone)?;
     let config = daemon.config.as_ref();
     let route = config.and_then(|config| config.routes.get(&entry.service)).cloned();
     let route = route.ok_or_else(|| Fault::new(Code::UnknownService, "the route was removed"))?;
-    let admitted = !home::in_use(daemon);
-    if admitted {
-        let workspace = entry.workspace.clone();
-        count(daemon, now, &workspace, &route)?;
-    }
-    Ok(Admission { route, admitted, left: None })
+    Ok(Admission { route, admitted: false, left: None })
 }
 
 /// Counts an operation in its workspace's rate.
--- a/crates/gcl-direct/src/session/mod.rs
+++ b/crates/gcl-direct/src/session/mod.rs
@@ -22,7 +22,6 @@
     effect::Effects,
     forward, gossip,
     guest::{self, Guest},
-    home,
     line::Line,
     pool,
     request::{self, Admission, Order, Request},
@@ -230,7 +229,7 @@
     match &query.statement {
         Statement::Begin { read_only } => {
             let read_only = *read_only;
-            match request::admit(daemon, now, fx, session, &query.id) {
+            match request::admit(daemon, fx, session, &query.id) {
                 Ok(admitted) => begin(daemon, now, fx, session, read_only, admitted),
                 Err(fault) => answer(daemon, now, fx, session, vec![Reply::Error(fault)]),
             }
@@ -240,7 +239,7 @@
             answer(daemon, now, fx, session, vec![Reply::Error(fault)]);
         }
         Statement::Data(_) | Statement::Execute { .. } => {
-            match request::admit(daemon, now, fx, session, &query.id) {
+            match request::admit(daemon, fx, session, &query.id) {
                 Ok(admitted) => run(daemon, now, fx, session, query, admitted),
                 Err(fault) => answer(daemon, now, fx, session, vec![Reply::Error(fault)]),
             }
@@ -383,7 +382,7 @@
         }
         Transaction::Open(open) => Admission::to(&open.route, open.admitted),
         Transaction::None => match &entry.guest_route {
-            Some(route) => Admission::to(route, !home::in_use(daemon)),
+            Some(route) => Admission::to(route, false),
             None => return,
         },
     };
--- a/crates/gcl-direct/tests/direct/primary.rs
+++ b/crates/gcl-direct/tests/direct/primary.rs
@@ -97,10 +97,12 @@
     assert!(world.promotions.is_empty(), "the primary is not moved for one daemon's cut");
 }
 
+/// The home counts what others send, whether they are hosts or entries that it does not know of yet.
 #[test]
 fn an_operation_counts_once_in_its_workspaces_rate() {
     let mut world = fleet();
-    let session = world.login(0, "latest", "key");
+    let home = home(&world);
+    let session = world.login((home + 1) % DAEMONS, "latest", "key");
     for _ in 0..10 {
         world.query(session, "WRITE 1 x").expect("it is written");
     }
@@ -108,7 +110,9 @@
     for daemon in 0..DAEMONS {
         let now = world.now(daemon);
         let demands = world.nodes[daemon].state.limit.demands(now.mono, &bounds);
-        asked += demands.map(|(_, demand)| demand.asked).sum::<f64>();
+        let counted = demands.map(|(_, demand)| demand.asked).sum::<f64>();
+        assert!(daemon == home || counted == 0.0, "d{daemon} counted {counted}");
+        asked += counted;
     }
     assert!((asked - 10.0).abs() < 0.01, "{asked} operations were counted");
 }
