--- a/crates/gcl-direct/src/era.rs
+++ b/crates/gcl-direct/src/era.rs
@@ -140,8 +140,16 @@
 }
 
 /// Takes the mark as it was read.
-pub fn on_mark(daemon: &mut Daemon, value: Option<&[u8]>, revision: id::Revision) {
+pub fn on_mark(
+    daemon: &mut Daemon,
+    fx: &mut Effects,
+    value: Option<&[u8]>,
+    revision: id::Revision,
+) {
     let era = value.and_then(|value| std::str::from_utf8(value).ok()?.parse().ok());
+    if value.is_some() && era.is_none() {
+        fx.log(Line::belief("era mark unreadable").with("revision", revision));
+    }
     daemon.era.mark = value.map_or(0, |_| revision);
     daemon.era.marked = era == Some(daemon.era.current);
     daemon.era.settled |= daemon.era.marked;
--- a/crates/gcl-direct/src/follow/own.rs
+++ b/crates/gcl-direct/src/follow/own.rs
@@ -27,7 +27,7 @@
         } else if item.key == role::MARK {
             role::on_mark(daemon, now, item.value.is_some());
         } else if item.key == era::MARK {
-            era::on_mark(daemon, item.value.as_deref(), item.revision);
+            era::on_mark(daemon, fx, item.value.as_deref(), item.revision);
         } else if let Some(database) = item.key.strip_prefix(group::PREFIX) {
             on_intention(daemon, now, fx, &id::Database::from(database), &item);
         }
--- a/crates/gcl-direct/src/request/mod.rs
+++ b/crates/gcl-direct/src/request/mod.rs
@@ -295,6 +295,7 @@
     };
     fx.count("gcl_refused", fault.code.text().trim());
     let line = Line::failure("statement refused").with("request", &request.query.id);
+    let line = line.with("workspace", &entry.workspace).with("members", daemon.members.len());
     let line = line.with("database", &request.route.database);
     let line = line.with("need", format_args!("{:?}", request.need)).mark("after", request.after);
     let line = line.with("tries", request.tries).with("stage", format_args!("{:?}", request.stage));
