--- a/crates/gcl-daemon/tests/platform/main.rs
+++ b/crates/gcl-daemon/tests/platform/main.rs
@@ -25,6 +25,15 @@
     Caller::connect(&address, service, KEY).await.expect("the login is accepted")
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn a_daemon_that_ends_before_it_has_started_is_not_waited_for() {
+    let directory = env::temp_dir().join(format!("goldcrest-{}-ends", process::id()));
+    fs::create_dir_all(&directory).expect("the directory can be made");
+    let ended = Deployment::start(Path::new("/bin/false"), &directory, 1).await;
+    let told = ended.expect_err("it does not come up").to_string();
+    assert!(told.contains("before it had started"), "{told}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_booking_is_read_through_another_daemon() {
     let deployment = start("read", 2).await;
