--- a/review/standin/daemon.rs
+++ b/review/standin/daemon.rs
@@ -119,7 +119,8 @@
     /// Stops the daemon with SIGTERM, waits for its end, and starts it again.
     pub fn roll(&mut self) -> std::io::Result<()> {
         let id = self.child.id().to_string();
-        Command::new("kill").args(["-TERM", &id]).status()?;
+        // The shell's own command, as there may be no program of that name.
+        Command::new("sh").args(["-c", "kill -TERM \"$0\"", &id]).status()?;
         self.child.wait()?;
         thread::sleep(Duration::from_millis(300));
         self.child = spawn(&self.settings, &self.log)?;
