--- a/review/standin/record.rs
+++ b/review/standin/record.rs
@@ -11,6 +11,8 @@
 #[derive(Clone)]
 pub struct Record {
     start: Instant,
+    /// Begins each line; tells the deployments of a case apart.
+    tag: String,
     file: Arc<Mutex<File>>,
 }
 
@@ -18,7 +20,13 @@
     /// Creates the file.
     pub fn create(path: &str) -> std::io::Result<Self> {
         let file = Arc::new(Mutex::new(File::create(path)?));
-        Ok(Self { start: Instant::now(), file })
+        Ok(Self { start: Instant::now(), tag: String::new(), file })
+    }
+
+    /// The same record for one of several deployments, with its own start.
+    pub fn of(&self, deployment: &str) -> Self {
+        let tag = format!("{deployment}: ");
+        Self { start: Instant::now(), tag, file: Arc::clone(&self.file) }
     }
 
     /// Milliseconds since the start.
@@ -29,6 +37,6 @@
     /// Writes a line with the time.
     pub fn line(&self, text: &str) {
         let mut file = self.file.lock().unwrap_or_else(|broken| broken.into_inner());
-        let _ = writeln!(file, "{:>7} ms  {text}", self.now());
+        let _ = writeln!(file, "{}{:>7} ms  {text}", self.tag, self.now());
     }
 }
--- a/review/standin/revoked.rs
+++ b/review/standin/revoked.rs
@@ -62,8 +62,31 @@
     });
 }
 
-/// Plays the case.
+/// Plays the case in two deployments that have nothing in common. Whether a daemon still sends
+/// writes when the promotion takes effect depends on when it renews its lease, which differs.
 pub fn run(setting: &Setting) -> Outcome {
+    let plays: Vec<_> = ["one", "two"]
+        .into_iter()
+        .map(|name| {
+            let folder = setting.folder.join(name);
+            let (record, trouble) = (setting.record.clone(), setting.trouble);
+            let play = thread::spawn(move || {
+                std::fs::create_dir_all(&folder).map_err(|error| error.to_string())?;
+                play(&Setting { record: record.of(name), trouble, folder })
+            });
+            sleep(Duration::from_millis(700));
+            play
+        })
+        .collect();
+    let mut broken = false;
+    for play in plays {
+        broken |= play.join().map_err(|_panic| "a deployment failed".to_owned())??;
+    }
+    Ok(broken)
+}
+
+/// Plays one deployment.
+fn play(setting: &Setting) -> Outcome {
     let record = &setting.record;
     let failed = |error: std::io::Error| error.to_string();
     let groups: Arc<OnceLock<[Group; 2]>> = Arc::default();
@@ -102,7 +125,7 @@
     let acknowledged = Acknowledged::default();
     let front = daemons[2].front;
     keep_writing(("third", front, "xapu221"), setting, &stop, &acknowledged);
-    until(32_400);
+    until(32_300);
     if setting.trouble {
         store.set_silent(true);
     }
