fix(failover): a successor that lacks commits is exchanged for a replica that holds them

Cause: a move keeps the target that it chose when all replicas were equal. While the old primary still serves single statements that target may stop receiving; the move then waits for it alone, and promotes it when its time is over without asking another replica for its position. Change: all replicas are polled while the target lacks commits. One that has every commit that daemons saw takes over by a new intention after 0.4 s, else the newest one when the time is over. A move that replaces one which did not complete counts the positions at the last known primary, and not at the first target alone; the acknowledgements report both. Ruled out: waiting longer for the target, since it may never catch up once the primary is gone; choosing the target only after the release, which adds a write and its news to each planned move. Both ways: an exchange is an intention like any other, which older builds follow. Tests: failover::a_successor_that_lacks_commits_is_exchanged_for_a_replica_that_holds_them, a_move_that_is_taken_over_keeps_the_commits_at_the_first_primary and among_replicas_that_lack_commits_the_newest_is_promoted failed before.

--- a/crates/gcl-direct/src/failover/attempt.rs
+++ b/crates/gcl-direct/src/failover/attempt.rs
@@ -4,7 +4,7 @@
 use crate::{
     effect::{Effect, Effects},
     era,
-    failover::evidence::Cause,
+    failover::evidence::{Candidate, Cause, select_successor},
     gossip,
     group::{self, Intention, Leader},
     line::Line,
@@ -36,6 +36,8 @@
 const CATCH_UP_TIMEOUT: Duration = Duration::from_millis(2500);
 /// The same in a planned move, whose old primary still sends its commits to the target.
 const PLANNED_CATCH_UP_TIMEOUT: Duration = Duration::from_secs(8);
+/// Time for the target to catch up while another replica has received every commit already.
+const EXCHANGE_DELAY: Duration = Duration::from_millis(400);
 /// Interval between checks of a move.
 const CHECK_INTERVAL: Duration = Duration::from_millis(60);
 
@@ -116,17 +118,45 @@
         attempt.released_at.get_or_insert(now.mono);
     }
     let seen = newest_position(daemon, database, &from, attempt.revision);
-    let received = daemon.pools.get(&to).and_then(|pool| pool.received.max(pool.mark));
+    let received = super::received(daemon, &to);
+    if received >= seen || attempt.requested_at.is_some() {
+        return request_promotion(daemon, now, fx, database, &attempt, to);
+    }
+    // The target lacks commits that daemons saw at the old primary.
     let timeout = catch_up_timeout(daemon, now, &from, planned);
-    let late = attempt.released_at.is_some_and(|at| now.since(at) >= timeout);
-    if received < seen && !late {
-        return pool::poll_position(daemon, now, fx, &to);
+    let waited = attempt.released_at.map_or(Duration::ZERO, |at| now.since(at));
+    let holder = newest_holder(daemon, now, fx, database);
+    let holder = holder.filter(|it| it.mark > received);
+    let complete = holder.as_ref().is_some_and(|it| it.mark >= seen);
+    let in_flight = tracker_mut(daemon, database).call.is_some();
+    if in_flight || waited < if complete { EXCHANGE_DELAY } else { timeout } {
+        return;
+    }
+    let line = Line::state_change("successor lacks commits").with("database", database);
+    fx.log(line.with("to", &to).mark("has", received).mark("seen", seen));
+    match holder {
+        Some(holder) => super::exchange_successor(daemon, fx, database, from, holder),
+        None => request_promotion(daemon, now, fx, database, &attempt, to),
+    }
+}
+
+/// The reachable replica that has received most; a draining one only if it has more than all others.
+/// The replicas are polled for their positions.
+fn newest_holder(
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    database: &id::Database,
+) -> Option<Candidate> {
+    let (draining, steady) = super::holders(daemon, now, database);
+    for holder in draining.iter().chain(&steady) {
+        pool::poll_position(daemon, now, fx, &holder.server);
     }
-    if received < seen {
-        let line = Line::state_change("successor lacks commits").with("database", database);
-        fx.log(line.with("to", &to).mark("has", received).mark("seen", seen));
+    let newest = |holders: Vec<Candidate>| select_successor(holders).filter(|it| it.reachable);
+    match (newest(steady), newest(draining)) {
+        (Some(steady), Some(draining)) if draining.mark > steady.mark => Some(draining),
+        (steady, draining) => steady.or(draining),
     }
-    request_promotion(daemon, now, fx, database, &attempt, to);
 }
 
 /// How long the target may catch up with the old primary. One that still works goes on to send its
@@ -140,20 +170,20 @@
     }
 }
 
-/// The newest log position that any daemon saw at the old primary.
+/// The newest log position that any daemon saw at the old primary, or at the last one that is known
+/// if the move replaces one that did not complete.
 fn newest_position(
     daemon: &Daemon,
     database: &id::Database,
     from: &id::Server,
     revision: id::Revision,
 ) -> Option<Mark> {
-    let own = daemon.pools.get(from).and_then(|pool| pool.mark);
     let written = daemon.members.values().filter_map(|member| {
         let acknowledgement = member.record.acknowledged.get(database)?;
         acknowledgement.mark.filter(|_| acknowledgement.revision == revision)
     });
     let announced = daemon.gossip.acknowledged_mark(database, revision);
-    own.max(daemon.gossip.mark(from)).max(written.max()).max(announced)
+    super::newest_position(daemon, database, from).max(written.max()).max(announced)
 }
 
 /// Daemons that may still use the old primary: those that have not acknowledged the move, listed or
--- a/crates/gcl-direct/src/failover/mod.rs
+++ b/crates/gcl-direct/src/failover/mod.rs
@@ -276,7 +276,7 @@
     for candidate in candidates.iter().filter(|it| it.reachable && checks) {
         pool::poll_position(daemon, now, fx, &candidate.server);
     }
-    let seen = newest_position(daemon, &from);
+    let seen = newest_position(daemon, database, &from);
     let best = select_successor(candidates);
     let (known, reachable) = gossip::peer_counts(daemon, now);
     Evidence {
@@ -290,10 +290,22 @@
     }
 }
 
-/// The newest log position of a primary that this daemon has received.
-fn newest_position(daemon: &Daemon, server: &str) -> Option<Mark> {
-    let own = daemon.pools.get(server).and_then(|pool| pool.mark);
-    own.max(daemon.gossip.mark(server))
+/// The newest log position that this daemon knows of a primary that is replaced. If that server was
+/// never seen as primary, the last one that was counts as well: its commits are not superseded.
+fn newest_position(daemon: &Daemon, database: &str, from: &str) -> Option<Mark> {
+    own_position(daemon, database, from).max(daemon.gossip.mark(from))
+}
+
+/// The same, of this daemon's own connections.
+fn own_position(daemon: &Daemon, database: &str, from: &str) -> Option<Mark> {
+    let mark = |server: &str| daemon.pools.get(server).and_then(|pool| pool.mark);
+    let last = daemon.groups.get(database).and_then(|group| group.last_primary.as_ref());
+    mark(from).max(last.and_then(|server| mark(server)))
+}
+
+/// The newest log position that a server is known to have received.
+fn received(daemon: &Daemon, server: &str) -> Option<Mark> {
+    daemon.pools.get(server).and_then(|pool| pool.received.max(pool.mark))
 }
 
 /// The server that a move replaces, empty for none.
@@ -327,17 +339,24 @@
         return fx.log(line.with("from", from).with("cause", format_args!("{cause:?}")));
     };
     let line = Line::state_change("moving the primary").with("database", database);
-    let line = line.with("from", &from).mark("seen", newest_position(daemon, &from));
+    let line = line.with("from", &from).mark("seen", newest_position(daemon, database, &from));
     let line = line.with("to", &to.server).mark("has", to.mark);
     fx.log(line.with("expected", expected).with("cause", format_args!("{cause:?}")));
-    let intention = Intention {
-        from,
-        to: to.server,
-        by: daemon.settings.daemon.clone(),
-        incarnation: daemon.incarnation,
-        planned: cause.is_planned(),
-    };
+    write_move(daemon, fx, database, (from, to.server), cause.is_planned());
+}
+
+/// Writes the intention of this daemon to move a primary from one server to another.
+fn write_move(
+    daemon: &mut Daemon,
+    fx: &mut Effects,
+    database: &id::Database,
+    (from, to): (id::Server, id::Server),
+    planned: bool,
+) {
+    let by = daemon.settings.daemon.clone();
+    let intention = Intention { from, to, by, incarnation: daemon.incarnation, planned };
     let record = group::Record { intention, era: daemon.era.current, order: 0 };
+    let expected = daemon.groups.get(database).map_or(0, |group| group.key_revision);
     write_record(daemon, fx, database, &record, expected);
 }
 
@@ -366,7 +385,7 @@
     Candidate {
         server: server.clone(),
         reachable: !failed,
-        mark: pool.and_then(|pool| pool.received.max(pool.mark)),
+        mark: received(daemon, server),
         distance: daemon.settings.distance(&entry.domain),
     }
 }
@@ -385,6 +404,33 @@
     eligible.map(|(server, entry)| candidate(daemon, now, server, entry)).collect()
 }
 
+/// Replicas that may hold commits which the target of a move lacks, that target and earlier ones
+/// included: those that are draining, and the others.
+fn holders(daemon: &Daemon, now: Now, database: &id::Database) -> (Vec<Candidate>, Vec<Candidate>) {
+    let servers = directory::servers(&daemon.directory, database);
+    let replicas = servers
+        .filter(|(_, entry)| !entry.claims_primary && !daemon.evacuation.contains(&entry.domain));
+    let (draining, steady): (Vec<_>, Vec<_>) = replicas.partition(|(_, entry)| entry.draining);
+    let candidates = |servers: Vec<(&id::Server, &Entry)>| {
+        servers.into_iter().map(|(server, entry)| candidate(daemon, now, server, entry)).collect()
+    };
+    (candidates(draining), candidates(steady))
+}
+
+/// Moves the primary to another successor, since the one chosen first lacks commits. The old primary
+/// is released already.
+fn exchange_successor(
+    daemon: &mut Daemon,
+    fx: &mut Effects,
+    database: &id::Database,
+    from: id::Server,
+    holder: Candidate,
+) {
+    let line = Line::state_change("successor exchanged").with("database", database);
+    fx.log(line.with("to", &holder.server).mark("has", holder.mark));
+    write_move(daemon, fx, database, (from, holder.server), false);
+}
+
 /// Handles a server's log position, requested at `sent`.
 pub fn on_position(daemon: &mut Daemon, now: Now, server: &id::Server, sent: Duration) {
     if let Some(entry) = daemon.directory.get(server) {
--- a/crates/gcl-direct/tests/direct/failover.rs
+++ b/crates/gcl-direct/tests/direct/failover.rs
@@ -311,3 +311,97 @@
     // Five daemons check two candidates, each twice at most.
     assert!(opened <= 20, "{opened} connections");
 }
+
+/// Drains the primary while the chosen successor, and perhaps another replica, receives nothing.
+/// Returns the successor.
+fn drain_with_a_deaf_successor(world: &mut World, writer: Session) -> String {
+    world.update_entry("a", |entry| entry.draining = true);
+    let mut successor = None;
+    for _ in 0..400 {
+        let moved = world.nodes[0].state.groups["orders"].latest_move.clone();
+        successor = moved.map(|moved| moved.intention.to.to_string());
+        if successor.is_some() {
+            break;
+        }
+        world.run(5);
+    }
+    let successor = successor.expect("the move has begun");
+    world.server(&successor).replication_paused = true;
+    for _ in 0..4 {
+        world.query(writer, "WRITE 1 x").expect("the old primary still serves single statements");
+        world.replicate();
+        world.run(50);
+    }
+    successor
+}
+
+fn log_of_first_promoted(world: &World) -> u64 {
+    world.servers[&world.promotions[0].0].log
+}
+
+/// The chosen successor stops receiving before the old primary is released. It was promoted after a
+/// while although another replica had received every commit.
+#[test]
+fn a_successor_that_lacks_commits_is_exchanged_for_a_replica_that_holds_them() {
+    let mut world = World::new(3);
+    let sessions = warm_up(&mut world);
+    let successor = drain_with_a_deaf_successor(&mut world, sessions[0]);
+    let acknowledged = world.servers["a"].log;
+    world.run(1500);
+    world.crash("a");
+    let took = write_until_acknowledged(&mut world, &sessions[..1]);
+    assert_ne!(world.promotions[0].0, successor);
+    assert!(log_of_first_promoted(&world) > acknowledged, "every acknowledged commit is kept");
+    assert!(took < 1500, "{took} ms");
+}
+
+/// The mover fails as well: its successor excludes the first target, whichever position it has, and
+/// knew only the positions at that target.
+#[test]
+fn a_move_that_is_taken_over_keeps_the_commits_at_the_first_primary() {
+    let mut world = World::new(3);
+    let sessions = warm_up(&mut world);
+    world.update_entry("a", |entry| entry.draining = true);
+    let mut moved = None;
+    for _ in 0..400 {
+        moved = world.nodes[0].state.groups["orders"].latest_move.clone();
+        if moved.is_some() {
+            break;
+        }
+        world.run(5);
+    }
+    let intention = moved.expect("the move has begun").intention;
+    let other = if intention.to == "b" { "c" } else { "b" };
+    world.server(other).replication_paused = true;
+    let failed = (0..3).find(|it| world.nodes[*it].state.settings.daemon == intention.by);
+    let failed = failed.expect("the moving daemon is one of them");
+    let writer = *sessions.iter().find(|(daemon, _)| *daemon != failed).expect("another session");
+    for _ in 0..4 {
+        world.query(writer, "WRITE 1 x").expect("the old primary still serves single statements");
+        world.replicate();
+        world.run(50);
+    }
+    let acknowledged = world.servers["a"].log;
+    world.kill(failed);
+    world.run(1000);
+    world.crash("a");
+    write_until_acknowledged(&mut world, &[writer]);
+    assert!(log_of_first_promoted(&world) > acknowledged, "every acknowledged commit is kept");
+}
+
+/// Without a replica that holds every commit, the one with the most is promoted.
+#[test]
+fn among_replicas_that_lack_commits_the_newest_is_promoted() {
+    let mut world = World::new(3);
+    let sessions = warm_up(&mut world);
+    let successor = drain_with_a_deaf_successor(&mut world, sessions[0]);
+    let other = if successor == "b" { "c" } else { "b" };
+    let newest = world.servers[other].log;
+    world.server(other).replication_paused = true;
+    world.query(sessions[0], "WRITE 1 x").expect("the old primary still serves single statements");
+    world.run(1000);
+    world.crash("a");
+    write_until_acknowledged(&mut world, &sessions[..1]);
+    assert!(log_of_first_promoted(&world) > newest, "it has more than the first choice");
+    assert_eq!(world.promotions[0].0, other);
+}
