fix(session): a session follows its key to another workspace

Cause: the key is looked up before each statement, but the workspace found was discarded: only a failure counted. Change: session::key::recheck compares the workspaces. The session changes with its key, and a transaction that has run for the earlier workspace is rolled back. A transaction is judged by the route with which it began. Ruled out: closing the session with KeyWithdrawn, which tells a caller with a valid key that it has none. Both ways: nothing changes between daemons; a host rolls the transaction back as the entry asks. Tests: session::a_transaction_of_a_key_that_changed_its_workspace_is_rolled_back (own connection, home), a_session_follows_its_key_to_another_workspace (2) and a_transaction_goes_on_when_its_route_becomes_public failed before.

--- a/crates/gcl-direct/src/session/key.rs
+++ b/crates/gcl-direct/src/session/key.rs
@@ -1,8 +1,16 @@
-//! Authentication of sessions by key, and closing of sessions whose key was withdrawn.
+//! Authentication of sessions by key, and sessions whose key was withdrawn or given to another
+//! workspace.
 
-use super::{DRAINING_RETRY_AFTER, NO_CONFIG_RETRY_AFTER, Session, refuse_and_close, remove};
+use super::{
+    DRAINING_RETRY_AFTER, NO_CONFIG_RETRY_AFTER, Session, Transaction, refuse_and_close, remove,
+};
 use crate::{
-    config::Config, drain, effect::Effects, line::Line, state::State as Daemon, statement::Query,
+    config::{Config, Route},
+    drain,
+    effect::Effects,
+    line::Line,
+    state::State as Daemon,
+    statement::Query,
 };
 use compact_str::CompactString;
 use gcl_core::{
@@ -47,13 +55,18 @@
 ///
 /// # Errors
 /// No configuration was read yet, the service has no route, or no workspace has the key.
-pub fn authenticate(config: Option<&Config>, service: &str, key: &str) -> Result<id::Workspace> {
+fn authenticate(config: Option<&Config>, service: &str, key: &str) -> Result<id::Workspace> {
     let Some(config) = config else {
         let fault = Fault::new(Code::StaleConfiguration, "no configuration was read yet");
         return Err(fault.retry_after(NO_CONFIG_RETRY_AFTER));
     };
     let route = config.routes.get(service);
     let route = route.ok_or_else(|| Fault::new(Code::UnknownService, "no route has this name"))?;
+    workspace_of(config, route, key)
+}
+
+/// The workspace of a key on a route.
+fn workspace_of(config: &Config, route: &Route, key: &str) -> Result<id::Workspace> {
     if route.public {
         return Ok(id::Workspace::default());
     }
@@ -61,9 +74,58 @@
     workspace.ok_or_else(|| Fault::new(Code::WrongKey, "no workspace has this key"))
 }
 
+/// The workspace of a session's key in the current configuration, on the route of its transaction or
+/// else of its service. It remains what it was if there is no such route.
+fn current_workspace(daemon: &Daemon, state: &Session) -> Result<id::Workspace> {
+    let Some(config) = &daemon.config else {
+        return Ok(state.workspace.clone());
+    };
+    let route = match &state.transaction {
+        Transaction::Open(open) => Some(&open.route),
+        _ => config.routes.get(&state.service),
+    };
+    route.map_or_else(
+        || Ok(state.workspace.clone()),
+        |route| workspace_of(config, route, &state.key),
+    )
+}
+
+/// Checks a session's key before its next statement. If the key has changed its workspace, so does
+/// the session, and a transaction that has run for the earlier one is rolled back.
+///
+/// # Errors
+/// [`Code::WrongKey`] if the key was withdrawn.
+pub(super) fn recheck(
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    session: id::Session,
+) -> Result<()> {
+    // The entry checks the keys of the statements that it forwards.
+    let Some(state) = daemon.sessions.get(&session).filter(|state| state.origin.is_none()) else {
+        return Ok(());
+    };
+    let workspace = current_workspace(daemon, state)?;
+    if workspace == state.workspace {
+        return Ok(());
+    }
+    let version = daemon.config.as_ref().map_or(0, |config| config.version);
+    let line = Line::state_change("session changes its workspace").with("session", session);
+    let line = line.with("from", &state.workspace).with("to", &workspace);
+    fx.log(line.with("version", version));
+    fx.count("gcl_key_moved", "");
+    if matches!(&state.transaction, Transaction::Open(open) if open.has_run()) {
+        super::fail_transaction(daemon, now, fx, session, "the key has changed its workspace");
+    }
+    if let Some(state) = daemon.sessions.get_mut(&session) {
+        state.workspace = workspace;
+    }
+    Ok(())
+}
+
 /// Closes a session whose key was withdrawn, and rolls back its transaction. A `query` is answered
 /// with a fault first.
-pub fn close_withdrawn(
+pub(super) fn close_withdrawn(
     daemon: &mut Daemon,
     now: Now,
     fx: &mut Effects,
--- a/crates/gcl-direct/src/session/mod.rs
+++ b/crates/gcl-direct/src/session/mod.rs
@@ -8,11 +8,11 @@
 mod transaction;
 
 pub use self::{
-    key::{authenticate, close_withdrawn, on_config},
+    key::on_config,
     transaction::{Open, Transaction},
 };
 
-use self::key::login;
+use self::key::{close_withdrawn, login, recheck};
 
 use crate::{
     authority,
@@ -188,13 +188,7 @@
 
 fn handle(daemon: &mut Daemon, now: Now, fx: &mut Effects, session: id::Session, query: Query) {
     daemon.timers.cancel(&timer::Key::Idle(session));
-    let Some(state) = daemon.sessions.get(&session) else {
-        return;
-    };
-    if let Err(fault) = authenticate(daemon.config.as_deref(), &state.service, &state.key)
-        && fault.code == Code::WrongKey
-        && state.origin.is_none()
-    {
+    if recheck(daemon, now, fx, session).is_err() {
         return close_withdrawn(daemon, now, fx, session, Some(&query));
     }
     let Some(state) = daemon.sessions.get(&session) else {
--- a/crates/gcl-direct/src/session/transaction.rs
+++ b/crates/gcl-direct/src/session/transaction.rs
@@ -46,6 +46,12 @@
             rate_counted,
         }
     }
+
+    /// Whether a statement of it was sent to a server or to a host.
+    #[must_use]
+    pub const fn has_run(&self) -> bool {
+        self.connection.is_some() || self.host.is_some()
+    }
 }
 
 /// The state of a session's transaction.
--- a/crates/gcl-direct/tests/direct/session.rs
+++ b/crates/gcl-direct/tests/direct/session.rs
@@ -3,6 +3,7 @@
 use super::world::World;
 use gcl_core::{batch::Status, code::Code};
 use gcl_direct::caller::Reply;
+use test_case::test_case;
 
 #[test]
 fn an_unknown_key_or_service_is_rejected() {
@@ -36,6 +37,82 @@
     assert_eq!(world.ran("a", "COMMIT"), 0);
 }
 
+/// The workspaces for which a server ran a statement.
+fn workspaces(world: &World, text: &str) -> Vec<String> {
+    let runs = world.servers["a"].ran.iter().filter(|(_, it)| it == text);
+    runs.map(|(workspace, _)| workspace.to_string()).collect()
+}
+
+/// Gives the key of most tests to another workspace.
+fn move_key(world: &mut World) {
+    world.configure(|config| {
+        config.keys.swap_remove("key");
+    });
+    world.configure(|config| {
+        config.keys.insert("key".into(), "v".into());
+    });
+    world.run(20);
+}
+
+/// A session that was within a transaction went on as the workspace that had lost its key.
+#[test_case(1; "on its own connection")]
+#[test_case(8; "at the home of the primary")]
+fn a_transaction_of_a_key_that_changed_its_workspace_is_rolled_back(daemons: usize) {
+    let mut world = World::new(daemons);
+    world.run(2000);
+    let sessions: Vec<_> =
+        (0..daemons).map(|daemon| world.login(daemon, "latest", "key")).collect();
+    for session in &sessions {
+        world.query(*session, "BEGIN").expect("BEGIN succeeds");
+        world.query(*session, "WRITE 1 x").expect("the write succeeds");
+    }
+    move_key(&mut world);
+    for session in &sessions {
+        let fault = world.query(*session, "COMMIT").expect_err("it has run for another workspace");
+        assert_eq!(fault.code, Code::TransactionLost);
+        world.query(*session, "WRITE 2 x").expect("the session goes on");
+    }
+    assert_eq!(world.ran("a", "COMMIT"), 0);
+    assert_eq!(workspaces(&world, "WRITE 2 x"), vec!["v"; daemons]);
+}
+
+/// Nothing of the session is lost where nothing has run for the earlier workspace.
+#[test_case(&[]; "outside a transaction")]
+#[test_case(&["BEGIN"]; "after BEGIN alone")]
+fn a_session_follows_its_key_to_another_workspace(before: &[&str]) {
+    let mut world = World::new(1);
+    let session = world.login(0, "latest", "key");
+    world.query(session, "READ 1").expect("the read succeeds");
+    for text in before {
+        world.query(session, text).expect("the statement succeeds");
+    }
+    world.configure(|config| {
+        config.keys.insert("key".into(), "v".into());
+    });
+    world.run(20);
+    world.query(session, "READ 2").expect("the read succeeds");
+    assert!(!world.is_closed(session));
+    assert_eq!(workspaces(&world, "READ 1"), ["w"]);
+    assert_eq!(workspaces(&world, "READ 2"), ["v"]);
+}
+
+/// A transaction keeps its route, and with it that the route is public.
+#[test]
+fn a_transaction_goes_on_when_its_route_becomes_public() {
+    let mut world = World::new(1);
+    let session = world.login(0, "latest", "key");
+    world.query(session, "BEGIN").expect("BEGIN succeeds");
+    world.query(session, "WRITE 1 x").expect("the write succeeds");
+    world.configure(|config| {
+        let route = config.routes.get_mut("latest").expect("the route exists");
+        std::sync::Arc::make_mut(route).public = true;
+    });
+    world.run(20);
+    world.query(session, "COMMIT").expect("the transaction keeps its route");
+    world.query(session, "READ 2").expect("the read succeeds");
+    assert_eq!(workspaces(&world, "READ 2"), [""]);
+}
+
 #[test]
 fn a_new_route_applies_from_the_next_transaction_on() {
     let mut world = World::new(1);
