--- a/crates/gcl-daemon/tests/platform/main.rs
+++ b/crates/gcl-daemon/tests/platform/main.rs
@@ -89,6 +89,53 @@
     assert!(!deployment.daemons[0].log().contains(KEY), "the key is in the log");
 }
 
+/// Entries that another writer left among those of the servers.
+fn put_odd_entries(deployment: &Deployment) {
+    let entry = |address: &str| {
+        json!({"service": "orders", "address": address, "zone": "alpha", "version": "v1",
+            "slots": 3, "state": "ready", "cold_left_ms": 0, "db_role": "primary", "sequence": 1})
+    };
+    let number = entry("127.0.0.1:9").to_string().replace("\"slots\":3", "\"slots\":1e999");
+    let nested = entry("127.0.0.1:9").to_string().replace("\"alpha\"", &"[".repeat(200_000));
+    let odd = [
+        ("servers/nested", nested),
+        ("servers/lists", "[".repeat(200_000)),
+        ("servers/number", number),
+        ("servers/port", entry("127.0.0.1:70000").to_string()),
+        ("servers/no-port", entry("127.0.0.1:0").to_string()),
+        ("servers/", entry("127.0.0.1:9").to_string()),
+        ("servers/two words", entry("127.0.0.1:9").to_string()),
+        ("servers/line\r\nQUERY - STATUS", entry("127.0.0.1:9").to_string()),
+        ("servers/text", "no JSON".to_owned()),
+    ];
+    for (key, value) in odd {
+        deployment.store.put_bytes(key, value.into_bytes());
+    }
+    deployment.store.put_bytes("servers/bytes", vec![0xff, 0x00, 0xfe]);
+}
+
+/// Each kind of odd entry once ended the processes that read it, or kept them from reading on.
+#[tokio::test(flavor = "multi_thread")]
+async fn daemons_follow_the_servers_beside_odd_entries() {
+    let mut deployment = start("odd", 2).await;
+    put_odd_entries(&deployment);
+    wait_for(&deployment.daemons[0], "server entry rejected").await;
+    // One that starts reads the odd entries with all others.
+    deployment.add_daemon(2).expect("the daemon starts");
+    deployment.daemons[2].wait_for_readiness(true).await;
+    let mut caller = connect(&deployment, 2, SERVICE).await;
+    caller.query("WRITE t1 first").await.expect("the write succeeds");
+    let primary = deployment.group.primary();
+    deployment.group.crash(&primary);
+    while caller.query("WRITE t1 second").await.is_err() {}
+    let mut other = connect(&deployment, 0, SERVICE).await;
+    while other.query("READ t1").await.is_err() {}
+    assert_eq!(deployment.group.committed("t1"), ["first", "second"]);
+    for daemon in &mut deployment.daemons {
+        assert!(daemon.child.try_wait().expect("its state is known").is_none(), "it still runs");
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn writes_continue_while_the_store_is_unreachable() {
     let deployment = start("store", 2).await;
--- a/crates/gcl-direct/src/pool/share.rs
+++ b/crates/gcl-direct/src/pool/share.rs
@@ -108,5 +108,5 @@
     if home::is_home_for(daemon, server) {
         return slots.max(1);
     }
-    (slots * OPENING_PER_SLOT / daemon.members.len().max(1)).clamp(1, MAX_OPENING)
+    (slots.saturating_mul(OPENING_PER_SLOT) / daemon.members.len().max(1)).clamp(1, MAX_OPENING)
 }
--- a/crates/gcl-direct/src/queue.rs
+++ b/crates/gcl-direct/src/queue.rs
@@ -35,7 +35,7 @@
 /// keep them busy. The others wait here, in order, because the server does not order its queue.
 #[must_use]
 pub const fn max_in_flight(slots: usize) -> usize {
-    slots + slots.div_ceil(2)
+    slots.saturating_add(slots.div_ceil(2))
 }
 
 /// Finds the waiters whose expected wait exceeds their remaining time, and returns their indices
--- a/crates/gcl-direct/tests/direct/malformed.rs
+++ b/crates/gcl-direct/tests/direct/malformed.rs
@@ -145,3 +145,35 @@
     let session = world.login(0, "latest", "key");
     world.query(session, "WRITE 1 x").expect("the daemon still serves");
 }
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(24))]
+
+    /// Entries of servers with values beyond all bounds, which a host may pass on: statements are
+    /// still served by the other servers.
+    #[test]
+    fn extreme_entries_of_servers_do_no_harm(
+        slots in prop_oneof![Just(0), Just(usize::MAX), any::<usize>()],
+        cold_ms in prop_oneof![Just(0), Just(u64::MAX), any::<u64>()],
+        started_ms in any::<u64>(),
+        daemons in prop_oneof![Just(1_usize), Just(8)],
+    ) {
+        let mut world = World::new(daemons);
+        for server in ["b", "c"] {
+            world.update_entry(server, |entry| {
+                entry.slots = slots;
+                entry.cold_left = Duration::from_millis(cold_ms);
+                entry.started_ms = started_ms;
+            });
+        }
+        world.run(2000);
+        for daemon in 0..daemons {
+            let session = world.login(daemon, "latest", "key");
+            prop_assert!(world.query(session, "WRITE 1 x").is_ok());
+            let lookup = world.login(daemon, "bounded", "key");
+            prop_assert!(world.query(lookup, "READ 1").is_ok());
+        }
+        world.update_entry("a", |entry| entry.draining = true);
+        world.run(3000);
+    }
+}
