fix(registration): a renewal counts from when it was sent, with one in flight at a time

Seen by callers: nothing yet; found while the case of the revoked leases was traced. A daemon may take its lease for valid longer than the store does, by the time between two renewals, and use a primary that is moved. Cause: the failure of another call (the registration's write, a read of the coordination keys) arms the timer of the lease while a renewal is under way. A second one is sent, and the answer to the first is counted from the second. Change: a renewal is not sent while another is in flight; its answer or failure arms the timer. Test: revocation::a_renewal_counts_from_when_it_was_sent failed before (counted from 0.8 s too late).

--- a/crates/gcl-direct/src/lease.rs
+++ b/crates/gcl-direct/src/lease.rs
@@ -94,6 +94,8 @@
     pub granted_at: Duration,
     /// When the last grant or renewal was sent.
     pub last_sent: Duration,
+    /// Whether a renewal is in flight.
+    pub renewing: bool,
     /// The revision of the registration, zero for absent.
     pub revision: id::Revision,
     /// The write of the registration in flight.
@@ -134,6 +136,7 @@
         self.stage = Stage::None;
         self.lease = 0;
         self.write = None;
+        self.renewing = false;
     }
 
     /// Clears a lease and its authority before either has ended.
--- a/crates/gcl-direct/src/registration.rs
+++ b/crates/gcl-direct/src/registration.rs
@@ -47,8 +47,11 @@
             if unwritten {
                 fx.store(Call::Read(Topic::Coordination));
             }
-            daemon.lease.last_sent = now.mono;
-            fx.store(Call::Renew(daemon.lease.lease));
+            // The answer to one of two renewals would not tell which of them was made.
+            if !std::mem::replace(&mut daemon.lease.renewing, true) {
+                daemon.lease.last_sent = now.mono;
+                fx.store(Call::Renew(daemon.lease.lease));
+            }
         }
     }
 }
@@ -182,6 +185,7 @@
     if lease != daemon.lease.lease {
         return;
     }
+    daemon.lease.renewing = false;
     match result {
         Ok(true) => {
             daemon.lease.granted_at = daemon.lease.last_sent;
--- a/crates/gcl-direct/tests/direct/revocation.rs
+++ b/crates/gcl-direct/tests/direct/revocation.rs
@@ -1,6 +1,14 @@
 //! Revoked leases, whose daemons still hold the authority to use primaries by their own clocks.
 
 use super::world::{DATABASE, Session, World};
+use gcl_core::time::Now;
+use gcl_direct::{
+    event::Event,
+    reduce::reduce,
+    store::{Answer, Event as Store},
+    timer,
+};
+use std::time::Duration;
 use test_case::test_case;
 
 /// A database beside that of most tests.
@@ -125,3 +133,20 @@
     let now = world.now(0);
     assert!(!gcl_direct::authority::is_held(&world.nodes[0].state, now));
 }
+
+/// Another call's failure makes the lease's timer fire while a renewal is under way. Its answer was
+/// counted from the time of the renewal sent last, which the store may never have received.
+#[test]
+fn a_renewal_counts_from_when_it_was_sent() {
+    let mut world = World::new(1);
+    let state = &mut world.nodes[0].state;
+    let (lease, ttl) = (state.lease.lease, state.lease.ttl);
+    let sent = state.timers.next().expect("the daemon has timers") + Duration::from_secs(1);
+    for delay_ms in [0, 400, 800] {
+        state.timers.arm(timer::Key::Lease, sent);
+        reduce(state, Now::at(sent + Duration::from_millis(delay_ms)), Event::Wake);
+    }
+    let answer = Answer { era: 0, event: Store::Renewed(lease, Ok(true)) };
+    reduce(state, Now::at(sent + Duration::from_millis(900)), Event::Store(answer));
+    assert!(state.lease.expires_at() <= sent + ttl, "{:?}", state.lease);
+}
