refactor(failover): candidates and their positions in a module of their own

Which servers may take over, and what they and the primary have received, moves to failover/successor.rs; the part of a move after the release becomes attempt::promote. No behaviour changes; the tests are unchanged and pass.

--- a/crates/gcl-direct/src/failover/attempt.rs
+++ b/crates/gcl-direct/src/failover/attempt.rs
@@ -1,10 +1,10 @@
 //! A move run by this daemon, from the intention in the store to the promotion.
 
-use super::tracker_mut;
+use super::{successor, tracker_mut};
 use crate::{
     effect::{Effect, Effects},
     era,
-    failover::evidence::{Candidate, Cause, select_successor},
+    failover::evidence::Cause,
     gossip,
     group::{self, Intention, Leader},
     line::Line,
@@ -84,8 +84,7 @@
     let leader = group::leader(group, &daemon.directory, database);
     let own_released = group.released;
     let newest = group.latest_move.as_ref().filter(|moved| moved.revision == attempt.revision);
-    let Some(Intention { from, to, planned, .. }) = newest.map(|moved| moved.intention.clone())
-    else {
+    let Some(to) = newest.map(|moved| moved.intention.to.clone()) else {
         tracker_mut(daemon, database).attempt = None;
         return;
     };
@@ -117,10 +116,27 @@
     if let Some(attempt) = attempt_of(daemon, database) {
         attempt.released_at.get_or_insert(now.mono);
     }
+    promote(daemon, now, fx, database, &attempt);
+}
+
+/// Promotes the target of a move, whose old primary no daemon uses any more, once it has every commit
+/// that daemons saw there. A target that lacks commits is exchanged for a replica that has more.
+fn promote(
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    database: &id::Database,
+    attempt: &Attempt,
+) {
+    let moved = daemon.groups.get(database).and_then(|group| group.latest_move.as_ref());
+    let Some(Intention { from, to, planned, .. }) = moved.map(|moved| moved.intention.clone())
+    else {
+        return;
+    };
     let seen = newest_position(daemon, database, &from, attempt.revision);
-    let received = super::received(daemon, &to);
+    let received = successor::received(daemon, &to);
     if received >= seen || attempt.requested_at.is_some() {
-        return request_promotion(daemon, now, fx, database, &attempt, to);
+        return request_promotion(daemon, now, fx, database, attempt, to);
     }
     // The target lacks commits that daemons saw at the old primary, which may have failed meanwhile.
     if daemon.directory.contains_key(&from) {
@@ -129,7 +145,8 @@
     let sends = planned && still_sends(daemon, now, &from);
     let timeout = if sends { PLANNED_CATCH_UP_TIMEOUT } else { CATCH_UP_TIMEOUT };
     let waited = attempt.released_at.map_or(Duration::ZERO, |at| now.since(at));
-    let holder = newest_holder(daemon, now, fx, database).filter(|it| it.mark > received);
+    let holder =
+        successor::newest_holder(daemon, now, fx, database).filter(|it| it.mark > received);
     let exchanges = holder.as_ref().is_some_and(|it| it.mark >= seen || !sends);
     let in_flight = tracker_mut(daemon, database).call.is_some();
     if in_flight || waited < if exchanges { EXCHANGE_DELAY } else { timeout } {
@@ -139,26 +156,7 @@
     fx.log(line.with("to", &to).mark("has", received).mark("seen", seen));
     match holder {
         Some(holder) => super::exchange_successor(daemon, fx, database, from, holder),
-        None => request_promotion(daemon, now, fx, database, &attempt, to),
-    }
-}
-
-/// The reachable replica that has received most; a draining one only if it has more than all others.
-/// The replicas are polled for their positions.
-fn newest_holder(
-    daemon: &mut Daemon,
-    now: Now,
-    fx: &mut Effects,
-    database: &id::Database,
-) -> Option<Candidate> {
-    let (draining, steady) = super::holders(daemon, now, database);
-    for holder in draining.iter().chain(&steady) {
-        pool::poll_position(daemon, now, fx, &holder.server);
-    }
-    let newest = |holders: Vec<Candidate>| select_successor(holders).filter(|it| it.reachable);
-    match (newest(steady), newest(draining)) {
-        (Some(steady), Some(draining)) if draining.mark > steady.mark => Some(draining),
-        (steady, draining) => steady.or(draining),
+        None => request_promotion(daemon, now, fx, database, attempt, to),
     }
 }
 
@@ -181,7 +179,7 @@
         acknowledgement.mark.filter(|_| acknowledgement.revision == revision)
     });
     let announced = daemon.gossip.acknowledged_mark(database, revision);
-    super::newest_position(daemon, database, from).max(written.max()).max(announced)
+    successor::newest_position(daemon, database, from).max(written.max()).max(announced)
 }
 
 /// Daemons that may still use the old primary: those that have not acknowledged the move, listed or
--- a/crates/gcl-direct/src/failover/mod.rs
+++ b/crates/gcl-direct/src/failover/mod.rs
@@ -11,6 +11,7 @@
 mod evidence;
 mod release;
 mod rewrite;
+mod successor;
 
 pub use self::{
     attempt::on_promoted,
@@ -24,10 +25,10 @@
     attempt::{Attempt, advance},
     release::release,
     rewrite::{registered_target, rewrite},
+    successor::{candidates, newest_position},
 };
 use crate::{
-    authority,
-    directory::{self, Entry},
+    authority, directory,
     effect::Effects,
     era,
     gossip::{self, Announcement},
@@ -40,7 +41,7 @@
     timer,
 };
 use bytes::Bytes;
-use gcl_core::{id, mark::Mark, rendezvous, time::Now};
+use gcl_core::{id, rendezvous, time::Now};
 use indexmap::IndexMap;
 use std::time::Duration;
 
@@ -290,24 +291,6 @@
     }
 }
 
-/// The newest log position that this daemon knows of a primary that is replaced. If that server was
-/// never seen as primary, the last one that was counts as well: its commits are not superseded.
-fn newest_position(daemon: &Daemon, database: &str, from: &str) -> Option<Mark> {
-    own_position(daemon, database, from).max(daemon.gossip.mark(from))
-}
-
-/// The same, of this daemon's own connections.
-fn own_position(daemon: &Daemon, database: &str, from: &str) -> Option<Mark> {
-    let mark = |server: &str| daemon.pools.get(server).and_then(|pool| pool.mark);
-    let last = daemon.groups.get(database).and_then(|group| group.last_primary.as_ref());
-    mark(from).max(last.and_then(|server| mark(server)))
-}
-
-/// The newest log position that a server is known to have received.
-fn received(daemon: &Daemon, server: &str) -> Option<Mark> {
-    daemon.pools.get(server).and_then(|pool| pool.received.max(pool.mark))
-}
-
 /// The server that a move replaces, empty for none.
 fn server_to_replace(daemon: &Daemon, database: &str) -> id::Server {
     let Some(group) = daemon.groups.get(database) else {
@@ -378,45 +361,6 @@
     fx.store(Call::Write { call, key: group::key(database), expected, value, lease: 0 });
 }
 
-fn candidate(daemon: &Daemon, now: Now, server: &id::Server, entry: &Entry) -> Candidate {
-    let pool = daemon.pools.get(server);
-    let failed = pool
-        .is_some_and(|pool| now.mono < pool.failed_until || pool.health.failing_since.is_some());
-    Candidate {
-        server: server.clone(),
-        reachable: !failed,
-        mark: received(daemon, server),
-        distance: daemon.settings.distance(&entry.domain),
-    }
-}
-
-fn candidates(
-    daemon: &Daemon,
-    now: Now,
-    database: &id::Database,
-    from: &id::Server,
-) -> Vec<Candidate> {
-    let servers = directory::servers(&daemon.directory, database);
-    // A superseded primary that still registers itself as one would at once count as the new one.
-    let eligible = servers
-        .filter(|(server, entry)| !entry.draining && !entry.claims_primary && *server != from)
-        .filter(|(_, entry)| !daemon.evacuation.contains(&entry.domain));
-    eligible.map(|(server, entry)| candidate(daemon, now, server, entry)).collect()
-}
-
-/// Replicas that may hold commits which the target of a move lacks, that target and earlier ones
-/// included: those that are draining, and the others.
-fn holders(daemon: &Daemon, now: Now, database: &id::Database) -> (Vec<Candidate>, Vec<Candidate>) {
-    let servers = directory::servers(&daemon.directory, database);
-    let replicas = servers
-        .filter(|(_, entry)| !entry.claims_primary && !daemon.evacuation.contains(&entry.domain));
-    let (draining, steady): (Vec<_>, Vec<_>) = replicas.partition(|(_, entry)| entry.draining);
-    let candidates = |servers: Vec<(&id::Server, &Entry)>| {
-        servers.into_iter().map(|(server, entry)| candidate(daemon, now, server, entry)).collect()
-    };
-    (candidates(draining), candidates(steady))
-}
-
 /// Moves the primary to another successor, since the one chosen first lacks commits. The old primary
 /// is released already.
 fn exchange_successor(
--- a/crates/gcl-direct/src/failover/release.rs
+++ b/crates/gcl-direct/src/failover/release.rs
@@ -38,7 +38,7 @@
         reroute_waiting(daemon, now, fx, database, &from);
     }
     if gossip::loans_ended(daemon, now, database, revision) {
-        let mark = super::own_position(daemon, database, &from);
+        let mark = super::successor::own_position(daemon, database, &from);
         registration::acknowledge(daemon, now, fx, database, Acknowledgement { revision, mark });
     } else {
         daemon.timers.arm_by(timer::Key::Failover(database.clone()), now.mono + CHECK_INTERVAL);
--- a/crates/gcl-direct/src/failover/rewrite.rs
+++ b/crates/gcl-direct/src/failover/rewrite.rs
@@ -2,7 +2,8 @@
 //! written again, and moves that no daemon remembers are derived from the servers.
 
 use super::{
-    CHECK_INTERVAL, Candidate, RANK_STEP, candidate, is_stale, rank, tracker_mut, write_record,
+    CHECK_INTERVAL, Candidate, RANK_STEP, is_stale, rank, successor::candidate, tracker_mut,
+    write_record,
 };
 use crate::{directory, effect::Effects, era, group, line::Line, state::State as Daemon, timer};
 use gcl_core::{id, time::Now};
