test(revocation): records of another release are read

The key of the revocations is new in the store, so a later release may add to it: further fields, keys beside it and a value that cannot be read are left aside. Passes on the code as it is.

--- a/crates/gcl-direct/tests/direct/revocation.rs
+++ b/crates/gcl-direct/tests/direct/revocation.rs
@@ -5,6 +5,7 @@
 use gcl_direct::{
     event::Event,
     reduce::reduce,
+    revocation,
     store::{Answer, Event as Store},
     timer,
 };
@@ -134,6 +135,36 @@
     assert!(!gcl_direct::authority::is_held(&world.nodes[0].state, now));
 }
 
+/// The daemons, other than itself, that the first daemon waits for although they are not listed.
+fn unlisted(world: &World) -> Vec<String> {
+    let state = &world.nodes[0].state;
+    revocation::unlisted_holders(state, world.now(0)).map(|(name, _)| name.to_string()).collect()
+}
+
+/// A later release may add fields to the record, and keys beside it; a value that cannot be read
+/// changes nothing.
+#[test]
+fn revocations_of_another_release_are_read() {
+    let mut world = World::new(2);
+    let (lease, incarnation) = (world.nodes[1].state.lease.lease, world.nodes[1].state.incarnation);
+    let record = format!(
+        r#"[{{"daemon":"d1","incarnation":{incarnation},"lease":{lease},"by":"d0","since":7}}]"#
+    );
+    world.put_item("goldcrest/later", "anything");
+    world.put_item("goldcrest/revoked", &record);
+    world.kill(1);
+    world.end_lease(1);
+    world.run(3000);
+    assert!(!world.nodes[0].state.members.contains_key("d1"));
+    assert_eq!(unlisted(&world), ["d1"]);
+    world.put_item("goldcrest/revoked", "[{]");
+    world.run(2500);
+    assert_eq!(unlisted(&world), ["d1"]);
+    world.run(4000);
+    assert!(unlisted(&world).is_empty(), "its lease has ended by its own clock");
+    assert!(world.nodes[0].ready);
+}
+
 /// Another call's failure makes the lease's timer fire while a renewal is under way. Its answer was
 /// counted from the time of the renewal sent last, which the store may never have received.
 #[test]
--- a/crates/gcl-direct/tests/direct/world.rs
+++ b/crates/gcl-direct/tests/direct/world.rs
@@ -805,6 +805,15 @@
         self.notify(Topic::Operator);
     }
 
+    /// Writes one of the daemons' own keys, as a daemon of another release might.
+    pub fn put_item(&mut self, key: &str, value: &str) {
+        self.revision += 1;
+        let value = Some(Bytes::copy_from_slice(value.as_bytes()));
+        let item = Item { key: key.into(), value, revision: self.revision, lease: 0 };
+        self.items.insert(key.to_owned(), item);
+        self.notify(Topic::Coordination);
+    }
+
     /// The store's item of one of the daemons' own keys.
     pub fn item(&self, key: &str) -> Option<&Item> {
         self.items.get(key).filter(|item| item.value.is_some())
