fix(failover): a move is not taken over while its mover may be unaware that its lease was revoked

A mover whose lease was revoked holds it by its own clock until its next renewal, and may order the promotion after its successor did, with a lower fencing token. Change: such a move is orphaned only once the revoked lease has ended by the mover's own clock (or, if the mover is listed again, by its new incarnation as before). Test: revocation::a_move_is_not_taken_over_while_its_mover_may_hold_a_revoked_lease failed before (taken over within 5.5 s); the other tests of revocation, failover and era pass.

--- a/crates/gcl-direct/src/failover/mod.rs
+++ b/crates/gcl-direct/src/failover/mod.rs
@@ -35,7 +35,7 @@
     group::{self, Intention, Leader, Move},
     home,
     line::Line,
-    pool, request,
+    pool, request, revocation,
     state::State as Daemon,
     store::{Call, Result, Topic, Written},
     timer,
@@ -250,9 +250,12 @@
     if is_stale(daemon, moved) {
         return age >= ORPHAN_TIMEOUT;
     }
-    let moving_daemon = daemon.members.get(&moved.intention.by);
-    let orphaned =
-        moving_daemon.is_none_or(|it| it.record.incarnation != moved.intention.incarnation);
+    let by = &moved.intention.by;
+    // An unlisted daemon that does not know of its revocation may still request the promotion.
+    let orphaned = match daemon.members.get(by) {
+        Some(member) => member.record.incarnation != moved.intention.incarnation,
+        None => !revocation::may_be_unaware(daemon, now, by),
+    };
     let target_gone = !daemon.directory.contains_key(&moved.intention.to);
     (orphaned || target_gone) && age >= ORPHAN_TIMEOUT || age >= TAKEOVER_TIMEOUT
 }
--- a/crates/gcl-direct/src/revocation.rs
+++ b/crates/gcl-direct/src/revocation.rs
@@ -67,23 +67,38 @@
     now.since(ended_at) < lease::duration(&daemon.settings.bounds)
 }
 
+/// Daemons whose leases were revoked, but may not have ended by their own clocks.
+fn revoked_holders(
+    daemon: &Daemon,
+    now: Now,
+) -> impl Iterator<Item = (&id::Daemon, id::Incarnation)> {
+    let known = daemon.revocation.known.values();
+    known
+        .filter(move |it| it.ended_at.is_none_or(|at| may_hold(daemon, now, at)))
+        .map(|it| (&it.record.daemon, it.record.incarnation))
+}
+
 /// Daemons that are not listed although they may use primaries by their own clocks: those whose
 /// leases were revoked, and those that served callers when they ceased to be listed.
 pub fn unlisted_holders(
     daemon: &Daemon,
     now: Now,
 ) -> impl Iterator<Item = (&id::Daemon, id::Incarnation)> {
-    let revoked = daemon.revocation.known.values();
-    let revoked = revoked
-        .filter(move |it| it.ended_at.is_none_or(|at| may_hold(daemon, now, at)))
-        .map(|it| (&it.record.daemon, it.record.incarnation));
     // An earlier release records no revocation, but a daemon whose lease expired serves no callers.
     let departed = daemon.watch.departed_members().filter(move |(name, incarnation, at)| {
         may_hold(daemon, now, *at) && gossip::served_at(daemon, name, *incarnation, *at)
     });
     let departed = departed.map(|(name, incarnation, _)| (name, incarnation));
     // A listed daemon has given up its earlier leases.
-    revoked.chain(departed).filter(|(name, _)| !daemon.members.contains_key(*name))
+    revoked_holders(daemon, now)
+        .chain(departed)
+        .filter(|(name, _)| !daemon.members.contains_key(*name))
+}
+
+/// Whether a daemon's lease was revoked, but may not have ended by its own clock.
+#[must_use]
+pub fn may_be_unaware(daemon: &Daemon, now: Now, name: &id::Daemon) -> bool {
+    revoked_holders(daemon, now).any(|(revoked, _)| revoked == name)
 }
 
 /// Revokes leases of listed daemons: records them, and once that is done ends those that have not
--- a/crates/gcl-direct/tests/direct/revocation.rs
+++ b/crates/gcl-direct/tests/direct/revocation.rs
@@ -165,6 +165,40 @@
     assert!(world.nodes[0].ready);
 }
 
+/// A move whose mover's lease was revoked was taken over at once, while the mover might still order
+/// its promotion, with a lower fencing token than its successor.
+#[test]
+fn a_move_is_not_taken_over_while_its_mover_may_hold_a_revoked_lease() {
+    let mut world = World::new(3);
+    world.run(2500);
+    world.update_entry("a", |entry| entry.draining = true);
+    let latest = |world: &World, daemon: usize| {
+        let group = &world.nodes[daemon].state.groups[DATABASE];
+        group.latest_move.clone().map(|moved| (moved.intention.by, moved.revision))
+    };
+    for _ in 0..1000 {
+        if latest(&world, 0).is_none() {
+            world.run(1);
+        }
+    }
+    let (by, revision) = latest(&world, 0).expect("the move has begun");
+    let mover = world.nodes.iter().position(|node| node.state.settings.daemon == by);
+    let mover = mover.expect("it is one of the daemons");
+    let other = (mover + 1) % 3;
+    (world.nodes[mover].watches_hung, world.nodes[mover].peers_cut) = (true, true);
+    let state = &world.nodes[mover].state;
+    let (lease, incarnation) = (state.lease.lease, state.incarnation);
+    world.outage(Some(mover), true);
+    let record =
+        format!(r#"[{{"daemon":"{by}","incarnation":{incarnation},"lease":{lease},"by":"d9"}}]"#);
+    world.put_item(revocation::KEY, &record);
+    world.end_lease(mover);
+    world.run(5500);
+    assert_eq!(latest(&world, other).map(|(_, revision)| revision), Some(revision));
+    world.run(6000);
+    assert!(latest(&world, other).is_some_and(|(_, newer)| newer > revision), "it is taken over");
+}
+
 /// Another call's failure makes the lease's timer fire while a renewal is under way. Its answer was
 /// counted from the time of the renewal sent last, which the store may never have received.
 #[test]
