fix(position): a position from before a daemon's start is not taken for one of its start

Cause: a host reports the primary's position with its age. The age was subtracted from the time of the poll with saturation at zero, the start of the daemon's clock. For a daemon younger than that age a position of any age lies at its start, which is recent enough for its own reads, and it reports it to other daemons as no older than itself. Evidence: the ten reads ran at d3 from 10,366 to 10,856 ms with a bound of 1.5 s. d4 had started at 9,373 ms and knew no position of its own; the violations end where the bound no longer reaches back beyond that start. That d3 had its position from d4 is not in the logs. Test: observation::a_position_of_another_host_counts_from_the_start_on failed before (2 of 3 cases).

--- a/crates/gcl-direct/src/position.rs
+++ b/crates/gcl-direct/src/position.rs
@@ -94,8 +94,11 @@
     let Some((mark, age)) = position.newest.filter(|_| position.requested <= now.mono) else {
         return;
     };
-    // The response was sent after the request, so the position is at most this old.
-    let at = position.requested.saturating_sub(age);
+    // The response was sent after the request, so the position is at most this old. One from before
+    // this daemon's start has no time on its clock, and would pass for a newer one.
+    let Some(at) = position.requested.checked_sub(age) else {
+        return;
+    };
     fx.observe("gcl_position_age_seconds", &position.database, now.since(at));
     let group = daemon.groups.entry(position.database.clone()).or_default();
     group.history.observe(at, mark);
--- a/crates/gcl-direct/tests/direct/observation.rs
+++ b/crates/gcl-direct/tests/direct/observation.rs
@@ -1,8 +1,14 @@
 //! Choice among the observed log positions of a primary.
 
+use super::world::World;
 use gcl_core::mark::Mark;
-use gcl_direct::observation::History;
+use gcl_direct::{
+    event::Event,
+    link::{self, Position, Response},
+    observation::History,
+};
 use std::time::Duration;
+use test_case::test_case;
 
 const fn ms(value: u64) -> Duration {
     Duration::from_millis(value)
@@ -27,3 +33,24 @@
     history.observe(ms(101), Mark::new(1, 2));
     assert_eq!(history.newest(), Some((ms(100), Mark::new(1, 1))));
 }
+
+/// A daemon that had just started took a position from before its start for one of its start, and so
+/// for recent enough, since its clock has no earlier time.
+#[test_case(900, Some(Mark::new(1, 7)); "a position since the start")]
+#[test_case(1100, None; "a position from before the start")]
+#[test_case(60_000, None; "a position of a minute ago")]
+fn a_position_of_another_host_counts_from_the_start_on(age_ms: u64, known: Option<Mark>) {
+    let mut world = World::new(1);
+    let position = Position {
+        database: "stock".into(),
+        requested: ms(1000),
+        newest: Some((Mark::new(1, 7), ms(age_ms))),
+    };
+    let response = link::Event::Responded("d1".into(), Response::Position(position));
+    world.deliver(0, Event::Link(response));
+    let history = |world: &World| {
+        let group = world.nodes[0].state.groups.get("stock");
+        group.and_then(|group| group.history.covering(Duration::ZERO))
+    };
+    assert_eq!(history(&world), known);
+}
