perf(position): a position from before a daemon's start keeps its age

Cause: dropping such positions is safe, but the daemons of a fleet that starts together poll positions that are some tens of milliseconds older than their own start, and then wait 0.2 s for the next. A read asks with the age that it accepts, and other daemons are told the true age. Ruled out: a clock that starts later than zero, since other decisions compare it with times since the start.

--- a/crates/gcl-direct/src/position.rs
+++ b/crates/gcl-direct/src/position.rs
@@ -65,8 +65,8 @@
 
 /// Queries the primary for its position unless a recent one is known.
 fn refresh(daemon: &mut Daemon, now: Now, fx: &mut Effects, database: &id::Database) {
-    let newest = daemon.groups.get(database).and_then(|group| group.history.newest());
-    if newest.is_some_and(|(at, _)| now.since(at) < MAX_AGE) {
+    let newest = daemon.groups.get(database).and_then(|group| group.history.newest(now.mono));
+    if newest.is_some_and(|(_, age)| age < MAX_AGE) {
         return;
     }
     if let Leader::Known(primary) = authority::leader(daemon, database) {
@@ -84,8 +84,7 @@
     requested: Duration,
 ) {
     refresh(daemon, now, fx, &database);
-    let newest = daemon.groups.get(&database).and_then(|group| group.history.newest());
-    let newest = newest.map(|(at, mark)| (mark, now.since(at)));
+    let newest = daemon.groups.get(&database).and_then(|group| group.history.newest(now.mono));
     fx.link(Call::Respond(link, Response::Position(Position { database, requested, newest })));
 }
 
@@ -94,12 +93,9 @@
     let Some((mark, age)) = position.newest.filter(|_| position.requested <= now.mono) else {
         return;
     };
-    // The response was sent after the request, so the position is at most this old. One from before
-    // this daemon's start has no time on its clock, and would pass for a newer one.
-    let Some(at) = position.requested.checked_sub(age) else {
-        return;
-    };
-    fx.observe("gcl_position_age_seconds", &position.database, now.since(at));
+    // The response was sent after the request, so the position is at most this old at the request.
+    let at_most = now.since(position.requested).saturating_add(age);
+    fx.observe("gcl_position_age_seconds", &position.database, at_most);
     let group = daemon.groups.entry(position.database.clone()).or_default();
-    group.history.observe(at, mark);
+    group.history.observe_aged(position.requested, age, mark);
 }
--- a/crates/gcl-direct/src/request/attempt.rs
+++ b/crates/gcl-direct/src/request/attempt.rs
@@ -59,7 +59,7 @@
     };
     let group = daemon.groups.get(&request.route.database);
     let database = request.route.database.clone();
-    let mark = group.and_then(|group| group.history.covering(began.saturating_sub(age)));
+    let mark = group.and_then(|group| group.history.covering(began, age));
     let floor = state.floors.get(&request.route.database).copied();
     let restricted = region::is_restricted(daemon, &request.route, &state.workspace);
     let located = home::is_enabled(daemon) || restricted;
