--- a/crates/gcl-direct/src/failover/attempt.rs
+++ b/crates/gcl-direct/src/failover/attempt.rs
@@ -148,8 +148,9 @@
     let holder =
         successor::newest_holder(daemon, now, fx, database).filter(|it| it.mark > received);
     let exchanges = holder.as_ref().is_some_and(|it| it.mark >= seen || !sends);
+    let delay = if exchanges { EXCHANGE_DELAY } else { timeout };
     let in_flight = tracker_mut(daemon, database).call.is_some();
-    if in_flight || waited < if exchanges { EXCHANGE_DELAY } else { timeout } {
+    if in_flight || waited < delay {
         return;
     }
     let line = Line::state_change("successor lacks commits").with("database", database);
--- a/crates/gcl-direct/src/revocation.rs
+++ b/crates/gcl-direct/src/revocation.rs
@@ -84,7 +84,8 @@
     daemon: &Daemon,
     now: Now,
 ) -> impl Iterator<Item = (&id::Daemon, id::Incarnation)> {
-    // An earlier release records no revocation, but a daemon whose lease expired serves no callers.
+    // An earlier release records no revocation. A daemon that serves on a loan after its lease has
+    // expired acknowledges moves in its digests.
     let departed = daemon.watch.departed_members().filter(move |(name, incarnation, at)| {
         may_hold(daemon, now, *at) && gossip::served_at(daemon, name, *incarnation, *at)
     });
