refactor(revocation): one rule for which revocations still count

Cause: which recorded revocations may still be in effect was written twice, for the movers that wait and for the write that drops what is over. Both must agree, else a daemon drops what another still waits for. Change: revocation::unexpired serves both. The doc of the newest position said less than the code does. No behaviour changes, no test is touched.

--- a/crates/gcl-direct/src/failover/successor.rs
+++ b/crates/gcl-direct/src/failover/successor.rs
@@ -9,8 +9,8 @@
 };
 use gcl_core::{id, mark::Mark, time::Now};
 
-/// The newest log position that this daemon knows of a primary that is replaced. If that server was
-/// never seen as primary, the last one that was counts as well: its commits are not superseded.
+/// The newest log position that this daemon knows of a primary that is replaced. The last server seen
+/// as primary counts as well: a move that did not complete has not superseded its commits.
 pub(super) fn newest_position(daemon: &Daemon, database: &str, from: &str) -> Option<Mark> {
     own_position(daemon, database, from).max(daemon.gossip.mark(from))
 }
--- a/crates/gcl-direct/src/revocation.rs
+++ b/crates/gcl-direct/src/revocation.rs
@@ -67,15 +67,12 @@
     now.since(ended_at) < lease::duration(&daemon.settings.bounds)
 }
 
-/// Daemons whose leases were revoked, but may not have ended by their own clocks.
-fn revoked_holders(
-    daemon: &Daemon,
-    now: Now,
-) -> impl Iterator<Item = (&id::Daemon, id::Incarnation)> {
+/// Revocations of leases that may not have ended by the clocks of their daemons.
+fn unexpired(daemon: &Daemon, now: Now) -> impl Iterator<Item = &Record> {
     let known = daemon.revocation.known.values();
     known
         .filter(move |it| it.ended_at.is_none_or(|at| may_hold(daemon, now, at)))
-        .map(|it| (&it.record.daemon, it.record.incarnation))
+        .map(|it| &it.record)
 }
 
 /// Daemons that are not listed although they may use primaries by their own clocks: those whose
@@ -90,16 +87,15 @@
         may_hold(daemon, now, *at) && gossip::served_at(daemon, name, *incarnation, *at)
     });
     let departed = departed.map(|(name, incarnation, _)| (name, incarnation));
+    let revoked = unexpired(daemon, now).map(|record| (&record.daemon, record.incarnation));
     // A listed daemon has given up its earlier leases.
-    revoked_holders(daemon, now)
-        .chain(departed)
-        .filter(|(name, _)| !daemon.members.contains_key(*name))
+    revoked.chain(departed).filter(|(name, _)| !daemon.members.contains_key(*name))
 }
 
 /// Whether a daemon's lease was revoked, but may not have ended by its own clock.
 #[must_use]
 pub fn may_be_unaware(daemon: &Daemon, now: Now, name: &id::Daemon) -> bool {
-    revoked_holders(daemon, now).any(|(revoked, _)| revoked == name)
+    unexpired(daemon, now).any(|record| record.daemon == *name)
 }
 
 /// Revokes leases of listed daemons: records them, and once that is done ends those that have not
@@ -146,9 +142,7 @@
     if state.call.is_some() || recently {
         return;
     }
-    let known = state.known.values();
-    let kept = known.filter(|it| it.ended_at.is_none_or(|at| may_hold(daemon, now, at)));
-    let records: Vec<_> = kept.map(|it| it.record.clone()).chain(added).collect();
+    let records: Vec<_> = unexpired(daemon, now).cloned().chain(added).collect();
     let value = match serde_json::to_vec(&records) {
         Ok(value) => Bytes::from(value),
         Err(error) => {
