test(review): in case 8 the platform carries out the order to promote

Cause: the platform of the stand-in refused to promote a server that runs. Change: it accepts, and the server registers itself as primary.

--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -314,7 +314,8 @@
     let foreign = Foreign::listen(record);
     if world.trouble {
         record.line("another writer registers servers/x-1 of the service payments");
-        world.store.put("servers/x-1", &foreign.entry());
+        world.store.set_foreign("payments", foreign.entry("primary"));
+        world.store.put("servers/x-1", &foreign.entry("replica"));
     }
     let begin = Instant::now();
     let mut served = 0;
--- a/review/standin-2/server.rs
+++ b/review/standin-2/server.rs
@@ -621,11 +621,12 @@
         Self { address, run }
     }
 
-    pub fn entry(&self) -> String {
+    /// Its entry in the store.
+    pub fn entry(&self, role: &str) -> String {
         format!(
             "{{\"service\":\"payments\",\"address\":\"{}\",\"zone\":\"alpha\",\"version\":\"v1\",\
              \"slots\":2,\"state\":\"ready\",\"cold_left_ms\":0,\"sequence\":1,\
-             \"db_role\":\"replica\",\"born\":{}}}",
+             \"db_role\":\"{role}\",\"born\":{}}}",
             self.address,
             unix_ms()
         )
--- a/review/standin-2/store.rs
+++ b/review/standin-2/store.rs
@@ -30,6 +30,8 @@
     leases: HashMap<u64, (Instant, Duration)>,
     /// Services of the orders to promote.
     orders: Vec<String>,
+    /// A service of another system, and the entry of its server once it leads.
+    foreign: Option<(String, String)>,
 }
 
 pub struct Store {
@@ -79,6 +81,11 @@
         self.changed.notify_all();
     }
 
+    /// Accepts orders to promote the server of another system, which then registers itself like this.
+    pub fn set_foreign(&self, service: &str, entry: String) {
+        self.inner.lock().unwrap().foreign = Some((service.to_owned(), entry));
+    }
+
     /// Orders to promote a server of a service.
     pub fn orders_of(&self, service: &str) -> u64 {
         self.inner.lock().unwrap().orders.iter().filter(|it| *it == service).count() as u64
@@ -136,7 +143,16 @@
                 let (service, id) = (body.get("service").text(), body.get("id").text());
                 self.record.line(&format!("promote {service} {id} holder {holder} fence {fence}"));
                 self.inner.lock().unwrap().orders.push(service.to_owned());
-                (if group.promote(id) { 200 } else { 409 }, "{}".to_owned())
+                let foreign = self.inner.lock().unwrap().foreign.clone();
+                let taken = match foreign.filter(|(name, _)| service == name) {
+                    // The other system's server runs as well; it leads from now on.
+                    Some((_, entry)) => {
+                        self.put(&format!("servers/{id}"), &entry);
+                        true
+                    }
+                    None => group.promote(id),
+                };
+                (if taken { 200 } else { 409 }, "{}".to_owned())
             } else {
                 self.call(path, &query, &body)
             };
