--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -5,7 +5,7 @@
     world::{Answer, Client, KEY, MEMORY_MB, World},
 };
 use std::{
-    collections::HashSet,
+    collections::{HashMap, HashSet},
     sync::{
         Mutex,
         atomic::{AtomicBool, Ordering},
@@ -308,6 +308,49 @@
     Some(last.served * 4 < last.asked)
 }
 
+/// PINNED: as in `transaction`, but a SET that fails has run, and single statements are sent. Not a case of
+/// its own.
+pub fn values(world: &mut World) -> Option<bool> {
+    let stop = AtomicBool::new(false);
+    let served = std::sync::atomic::AtomicU64::new(0);
+    let begin = Instant::now();
+    thread::scope(|scope| {
+        for number in 0..6 {
+            let (world, stop, served) = (&*world, &stop, &served);
+            scope.spawn(move || {
+                let name = format!("c{number}");
+                let Ok(mut client) = Client::connect(world, number % 3, &name, "desk", KEY) else {
+                    return;
+                };
+                let set = HashMap::from([("v".to_owned(), format!("of-{name}"))]);
+                if client.query(&format!("SET v of-{name}")).is_complete() {
+                    world.group.acknowledge(&name, &set);
+                }
+                while !stop.load(Ordering::Relaxed) {
+                    pause(20);
+                    let done = client.query("READ item").is_complete();
+                    served.fetch_add(u64::from(done), Ordering::Relaxed);
+                }
+            });
+        }
+        wait_until(begin, 4000);
+        if world.trouble {
+            world.group.set_grey("i-a", Some((Grey::Ran, 40)));
+        }
+        wait_until(begin, 10_500);
+        world.group.set_grey("i-a", None);
+        wait_until(begin, 14_000);
+        stop.store(true, Ordering::Relaxed);
+    });
+    let (served, other) = (served.into_inner(), world.group.other_values());
+    let text = format!(
+        "{served} statements served, {other} ran with the session values of another client"
+    );
+    world.record.line(&text);
+    println!("{text}");
+    (served > 500).then_some(other > 0)
+}
+
 /// ROUTE: an entry of another writer names a service that is in no manifest.
 pub fn foreign(world: &mut World) -> Option<bool> {
     let record = &world.record;
--- a/review/standin-2/main.rs
+++ b/review/standin-2/main.rs
@@ -29,6 +29,7 @@
         "lost" => (["alpha", "alpha", "beta"], 1, cases::lost),
         "memory" => (apart, 0, cases::memory),
         "hang" => (apart, 0, cases::hang),
+        "values" => (apart, 0, cases::values),
         "foreign" => (apart, 0, cases::foreign),
         _ => exit(2),
     };
--- a/review/standin-2/server.rs
+++ b/review/standin-2/server.rs
@@ -31,6 +31,8 @@
 pub enum Grey {
     /// It answers `FAILED`.
     Errors,
+    /// It runs them and answers `FAILED`. Of the commands of the system only SET has an effect.
+    Ran,
     /// It does not answer.
     Hang,
 }
@@ -76,6 +78,10 @@
     sync_replicas: usize,
     last_connection: AtomicU64,
     random: AtomicU64,
+    /// The session values that were acknowledged to each client, where they are checked.
+    acknowledged: Mutex<HashMap<String, HashMap<String, String>>>,
+    /// Statements that ran with other values than these.
+    other_values: AtomicU64,
 }
 
 struct Transaction {
@@ -115,6 +121,8 @@
             sync_replicas,
             last_connection: AtomicU64::new(0),
             random: AtomicU64::new(unix_ms() | 1),
+            acknowledged: Mutex::default(),
+            other_values: AtomicU64::new(0),
         });
         for rank in 0..zones.len() {
             group.register(&group.lock()[rank]);
@@ -195,6 +203,27 @@
         }
     }
 
+    /// Notes which session values were acknowledged to a client; its statements are checked from then on.
+    pub fn acknowledge(&self, client: &str, values: &HashMap<String, String>) {
+        self.acknowledged.lock().unwrap().insert(client.to_owned(), values.clone());
+    }
+
+    /// How many statements of clients ran with other session values than were acknowledged to them.
+    pub fn other_values(&self) -> u64 {
+        self.other_values.load(Ordering::Relaxed)
+    }
+
+    fn check_values(&self, id: &str, query: &str, values: &HashMap<String, String>) {
+        let client = query.split('n').next().unwrap_or_default();
+        let acknowledged = self.acknowledged.lock().unwrap();
+        if let Some(expected) = acknowledged.get(client).filter(|expected| *expected != values) {
+            self.other_values.fetch_add(1, Ordering::Relaxed);
+            self.record.line(&format!(
+                "{id}: {query} runs with the values {values:?}, acknowledged were {expected:?}"
+            ));
+        }
+    }
+
     /// Crashes servers at the same moment: connections end, and new ones are refused.
     pub fn crash(self: &Arc<Self>, ids: &[&str]) {
         let mut servers = self.lock();
@@ -367,6 +396,7 @@
         let mut transaction: Option<Transaction> = None;
         let mut prepared: HashMap<String, (bool, String)> = HashMap::new();
         let mut opened = 0;
+        let mut values = HashMap::new();
         loop {
             let mut line = String::new();
             if reader.read_line(&mut line).ok()? == 0 {
@@ -398,7 +428,17 @@
             } else {
                 "single".to_owned()
             };
-            let result = if hit == Some(Grey::Errors) {
+            match (verb, hit) {
+                ("SET", None | Some(Grey::Ran)) => {
+                    let mut words = text.splitn(3, ' ').skip(1).map(str::to_owned);
+                    values
+                        .insert(words.next().unwrap_or_default(), words.next().unwrap_or_default());
+                }
+                ("RESET", None) => values.clear(),
+                _ if query != "-" && hit.is_none() => self.check_values(&id, query, &values),
+                _ => {}
+            }
+            let result = if matches!(hit, Some(Grey::Errors | Grey::Ran)) {
                 Err("FAILED some requests fail".to_owned())
             } else if transaction.as_ref().is_some_and(|it| it.failed)
                 && !matches!(verb, "COMMIT" | "ROLLBACK")
--- a/review/standin-2/world.rs
+++ b/review/standin-2/world.rs
@@ -62,6 +62,10 @@
             && answer.starts_with("HTTP/1.1 200")
     }
 
+    fn has_exited(&self) -> bool {
+        self.child.lock().unwrap().try_wait().is_ok_and(|status| status.is_some())
+    }
+
     /// Resident memory in KiB.
     fn memory_kb(&self) -> u64 {
         let id = self.child.lock().unwrap().id();
@@ -134,8 +138,13 @@
             Self { record, store, group, daemons: Vec::new(), trouble, folder: temporary };
         world.configure(1, &[KEY], sync_replicas);
         for number in 0..3 {
-            let daemon = world.spawn(number)?;
-            world.daemons.push(daemon);
+            // Another process may have taken one of its ports meanwhile.
+            let started = (0..3).find_map(|_| {
+                let daemon = world.spawn(number)?;
+                thread::sleep(Duration::from_millis(100));
+                (!daemon.has_exited()).then_some(daemon)
+            });
+            world.daemons.push(started?);
         }
         let until = Instant::now() + Duration::from_secs(15);
         while Instant::now() < until {
