feat(request): log setup commands that a server refuses

Change: the line 'setup refused by the server' says step, reason, connection and whether a statement of the transaction was sent; gcl_setup_refused counts steps.

--- a/crates/gcl-direct/src/connection.rs
+++ b/crates/gcl-direct/src/connection.rs
@@ -37,6 +37,22 @@
     Report,
 }
 
+impl Step {
+    /// A short name for logs and metrics.
+    #[must_use]
+    pub const fn name(&self) -> &'static str {
+        match self {
+            Self::Reset => "reset",
+            Self::Set(..) => "set",
+            Self::Prepare(_) => "prepare",
+            Self::Begin => "begin",
+            Self::Statement => "statement",
+            Self::Rollback => "rollback",
+            Self::Report => "report",
+        }
+    }
+}
+
 /// Whether a connection is established.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Phase {
--- a/crates/gcl-direct/src/reduce.rs
+++ b/crates/gcl-direct/src/reduce.rs
@@ -209,9 +209,10 @@
             if refusal.is_none()
                 && let Some(conn) = state.connections.get_mut(&connection)
             {
-                conn.apply(step);
+                conn.apply(step.clone());
             }
-            request::on_setup_answered(state, now, fx, session, connection, refusal.as_ref());
+            let outcome = (&step, refusal.as_ref());
+            request::on_setup_answered(state, now, fx, session, connection, outcome);
         }
     }
 }
--- a/crates/gcl-direct/src/request/run.rs
+++ b/crates/gcl-direct/src/request/run.rs
@@ -7,6 +7,7 @@
     cold,
     connection::Step,
     effect::Effects,
+    line::Line,
     placement::Need,
     pool,
     session::Transaction,
@@ -83,6 +84,7 @@
             let command = Command::Begin { read_only: open.read_only, min_position };
             return pool::send(daemon, now, fx, connection, Step::Begin, command);
         }
+        open.started = true;
         open.wrote |= request.access == Access::Write;
     }
     let id = request.query.id.clone();
@@ -109,7 +111,7 @@
     fx: &mut Effects,
     session: id::Session,
     connection: id::Connection,
-    refusal: Option<&Refusal>,
+    (step, refusal): (&Step, Option<&Refusal>),
 ) {
     let Some(refusal) = refusal else {
         return advance(daemon, now, fx, session, connection);
@@ -118,10 +120,37 @@
     let Some(server) = server else {
         return;
     };
+    log_refused_step(daemon, fx, session, connection, (step, refusal));
     detach(daemon, now, fx, session, connection);
     retry(daemon, now, fx, session, &server, refusal.name());
 }
 
+/// Whether a statement of a session's transaction was sent, so that it can only go on where it runs.
+fn has_started(daemon: &Daemon, session: id::Session) -> bool {
+    let state = daemon.sessions.get(&session);
+    state.is_some_and(|state| matches!(&state.transaction, Transaction::Open(open) if open.started))
+}
+
+/// Logs a refused setup command with the state of the session's transaction.
+fn log_refused_step(
+    daemon: &Daemon,
+    fx: &mut Effects,
+    session: id::Session,
+    connection: id::Connection,
+    (step, refusal): (&Step, &Refusal),
+) {
+    fx.count("gcl_setup_refused", step.name());
+    let state = daemon.sessions.get(&session);
+    let Some(request) = state.and_then(|state| state.request.as_ref()) else {
+        return;
+    };
+    let server = daemon.connections.get(&connection).map(|conn| conn.server.clone());
+    let line = Line::failure("setup refused by the server").with("request", &request.query.id);
+    let line = line.with("server", server.unwrap_or_default()).with("connection", connection);
+    let line = line.with("step", step.name()).with("reason", refusal.name());
+    fx.log(line.with("transaction_started", has_started(daemon, session)));
+}
+
 /// Releases the connection of a session that continues without it.
 fn detach(
     daemon: &mut Daemon,
--- a/crates/gcl-direct/src/session/transaction.rs
+++ b/crates/gcl-direct/src/session/transaction.rs
@@ -16,6 +16,8 @@
     pub began: Duration,
     /// The connection that it runs on, set with its first statement.
     pub connection: Option<id::Connection>,
+    /// Whether a statement of it was sent on that connection.
+    pub started: bool,
     /// Whether a write was sent.
     pub wrote: bool,
     /// Whether its connection was chosen because the server was the primary.
@@ -40,6 +42,7 @@
             route,
             began,
             connection: None,
+            started: false,
             wrote: false,
             on_primary: false,
             host: None,
