fix(request): a transaction that has started ends when its connection cannot be set up

Cause: on_setup_answered released the connection of any statement whose PREPARE, SET or BEGIN was refused and tried the statement elsewhere, also when the transaction had already run statements there. They were rolled back, and the transaction went on as a new one.

Change: from the first statement sent on, a refused setup command ends the transaction with the promise that nothing is kept, and BEGIN is sent only for a transaction that has not started. The promise is true: the commit was not sent, and the connection is rolled back or closed.

--- a/crates/gcl-direct/src/request/outcome.rs
+++ b/crates/gcl-direct/src/request/outcome.rs
@@ -164,6 +164,26 @@
     session::answer(daemon, now, fx, session, vec![reply]);
 }
 
+/// Ends a transaction that cannot go on, before the session's current statement was sent. The caller is
+/// promised that nothing of it is kept.
+pub(super) fn fail_transaction(
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    session: id::Session,
+    reason: &str,
+) {
+    let Some(request) = super::current(daemon, session) else {
+        return;
+    };
+    let commit = request.query.statement == Statement::Commit;
+    let next = if commit { Transaction::None } else { Transaction::Failed };
+    finish(daemon, now, fx, session, "failed");
+    session::end_transaction(daemon, now, fx, session, next);
+    let fault = Fault::new(Code::TransactionLost, reason).retry_after(BUSY_RETRY_AFTER);
+    session::answer(daemon, now, fx, session, vec![Reply::Error(fault)]);
+}
+
 /// Handles the loss of a statement's connection, or of the authority to use the primary that ran
 /// it.
 pub fn on_lost(
--- a/crates/gcl-direct/src/request/run.rs
+++ b/crates/gcl-direct/src/request/run.rs
@@ -1,7 +1,10 @@
 //! Running a statement on its connection: first the session's values and prepared statements are
 //! set up, then the transaction is opened, then the statement is sent.
+//!
+//! A transaction lives on one connection. Until its first statement is sent, it can be set up again
+//! on another one. After that, a setup command that fails ends it.
 
-use super::{Stage, attempt::retry};
+use super::{Stage, attempt::retry, outcome::fail_transaction};
 use crate::{
     backend::{Command, Refusal},
     cold,
@@ -80,6 +83,10 @@
     }
     let min_position = request.min_position;
     if let Transaction::Open(open) = &mut state.transaction {
+        if !conn.in_transaction && open.started {
+            let reason = "the server ended the transaction";
+            return fail_transaction(daemon, now, fx, session, reason);
+        }
         if !conn.in_transaction {
             let command = Command::Begin { read_only: open.read_only, min_position };
             return pool::send(daemon, now, fx, connection, Step::Begin, command);
@@ -121,6 +128,9 @@
         return;
     };
     log_refused_step(daemon, fx, session, connection, (step, refusal));
+    if has_started(daemon, session) {
+        return fail_transaction(daemon, now, fx, session, refusal.name());
+    }
     detach(daemon, now, fx, session, connection);
     retry(daemon, now, fx, session, &server, refusal.name());
 }
--- a/crates/gcl-direct/tests/direct/main.rs
+++ b/crates/gcl-direct/tests/direct/main.rs
@@ -39,6 +39,7 @@
 mod revocation;
 mod session;
 mod settings;
+mod setup;
 mod spread;
 mod storage;
 mod timer;
--- a/crates/gcl-direct/tests/direct/world.rs
+++ b/crates/gcl-direct/tests/direct/world.rs
@@ -5,11 +5,13 @@
 //! fails a test in which a write is acknowledged that such a server committed afterwards.
 
 use bytes::Bytes;
+use compact_str::CompactString;
 use gcl_core::{batch::Status, code::Fault, id, mark::Mark, time::Now};
 use gcl_direct::{
     backend::{Answer, Call, Command, Event as Backend, Refusal, Report},
     caller::{Effect as CallerEffect, Event as Caller, Reply},
     config::{Config, Database, Freshness, Rate, Route, Workspace},
+    connection::Values,
     directory::Entry,
     effect::{Effect, Effects},
     era,
@@ -20,7 +22,7 @@
     reduce::reduce,
     settings::{Bounds, Settings},
     state::State,
-    statement::{Access, Query, Statement},
+    statement::{Access, Prepared, Query, Statement},
     store::{
         Answer as StoreAnswer, Call as StoreCall, Contents, Event as Store, Failure, Item, Topic,
         Written,
@@ -71,10 +73,26 @@
     pub superseded: bool,
     /// Refusals that replace the next successful answers; the last one is used first.
     pub refusals: Vec<Refusal>,
-    /// Whether the next statement runs but its answer is lost.
+    /// The next setup command of one kind that is refused.
+    pub setup_refusal: Option<SetupRefusal>,
+    /// Whether the next command runs but its answer is lost.
     pub drop_next_answer: bool,
     /// Statements that ran, with the connection's workspace.
     pub ran: Vec<(id::Workspace, String)>,
+    /// Session values of the connections that these statements ran on.
+    pub values: Vec<Values>,
+    /// Writes that were committed, in order.
+    pub committed: Vec<String>,
+}
+
+/// The refusal of a command that sets up a connection.
+#[derive(Clone, Debug)]
+pub struct SetupRefusal {
+    /// The command.
+    pub step: &'static str,
+    pub refusal: Refusal,
+    /// Whether it takes effect all the same.
+    pub takes_effect: bool,
 }
 
 /// A simulated daemon.
@@ -119,11 +137,67 @@
     server: id::Server,
     workspace: id::Workspace,
     in_transaction: bool,
-    wrote: bool,
+    /// Whether its transaction failed, so that it can only be rolled back.
+    failed: bool,
+    /// Writes of its open transaction.
+    writes: Vec<String>,
+    values: Values,
+    prepared: IndexMap<CompactString, Prepared>,
     /// Whether it has committed on a superseded server since its last answer.
     superseded_commit: bool,
 }
 
+impl Connection {
+    /// The text that a statement runs with, `None` if its prepared statement does not exist.
+    fn text(&self, command: &Command) -> Option<String> {
+        match command {
+            Command::Forward { text, .. } => Some(text.to_string()),
+            Command::Execute { name, parameters, .. } => {
+                let prepared = self.prepared.get(name)?;
+                Some(format!("{} {parameters}", prepared.template))
+            }
+            _ => None,
+        }
+    }
+
+    /// Carries out a command other than a statement. A name can be prepared once.
+    fn set_up(&mut self, command: &Command) -> Result<(), Refusal> {
+        match command {
+            Command::Begin { .. } => self.in_transaction = true,
+            Command::Rollback => {
+                (self.in_transaction, self.failed) = (false, false);
+                self.writes.clear();
+            }
+            Command::Reset => {
+                self.values.clear();
+                self.prepared.clear();
+            }
+            Command::Set { name, value } => {
+                self.values.insert(name.clone(), value.clone());
+            }
+            Command::Prepare { name, .. } if self.prepared.contains_key(name) => {
+                return Err(Refusal::Failed("the name is taken".into()));
+            }
+            Command::Prepare { name, prepared } => {
+                self.prepared.insert(name.clone(), prepared.clone());
+            }
+            Command::Forward { .. } | Command::Execute { .. } | Command::Report => {}
+        }
+        Ok(())
+    }
+}
+
+/// The name of a command that sets up a connection, empty for others.
+const fn step(command: &Command) -> &'static str {
+    match command {
+        Command::Reset => "reset",
+        Command::Set { .. } => "set",
+        Command::Prepare { .. } => "prepare",
+        Command::Begin { .. } => "begin",
+        _ => "",
+    }
+}
+
 /// The store's contents at some time.
 #[derive(Clone, Debug)]
 pub struct Snapshot {
@@ -310,8 +384,11 @@
             full: false,
             superseded: false,
             refusals: Vec::new(),
+            setup_refusal: None,
             drop_next_answer: false,
             ran: Vec::new(),
+            values: Vec::new(),
+            committed: Vec::new(),
         };
         self.servers.insert(name.into(), server);
         self.notify(Topic::Servers);
@@ -426,6 +503,14 @@
         }
     }
 
+    /// Makes a server roll back the open transactions of its connections, which it does not announce.
+    pub fn end_transactions(&mut self, name: &str) {
+        for connection in self.connections.values_mut().filter(|it| it.server == name) {
+            connection.in_transaction = false;
+            connection.writes.clear();
+        }
+    }
+
     /// Crashes a server; further connections to it are refused.
     pub fn crash(&mut self, name: &str) {
         self.server(name).up = false;
@@ -728,66 +813,70 @@
     fn answer(&mut self, connection: &mut Connection, command: &Command) -> Answer {
         let server = self.servers.get_mut(&connection.server).expect("the server exists");
         let claims_primary = server.entry.claims_primary;
-        let refused = matches!(command, Command::Forward { .. } | Command::Execute { .. })
-            .then(|| server.refusals.pop())
-            .flatten();
-        let mut report = None;
-        let result = match (refused, command) {
-            (Some(refusal), _) => Err(refusal),
-            (None, Command::Begin { read_only, min_position }) => {
-                let behind =
-                    min_position.is_some_and(|min| min > Mark::new(server.term, server.log));
-                match (behind, claims_primary || *read_only) {
-                    (true, _) => Err(Refusal::Behind),
-                    (_, false) => Err(Refusal::ReadOnly),
-                    _ => Ok(true),
-                }
+        let behind =
+            |min: &Option<Mark>| min.is_some_and(|it| it > Mark::new(server.term, server.log));
+        let text = connection.text(command);
+        let writes = text.as_ref().is_some_and(|text| text.starts_with("WRITE"));
+        let check = match command {
+            Command::Begin { min_position, .. }
+            | Command::Forward { min_position, .. }
+            | Command::Execute { min_position, .. }
+                if behind(min_position) =>
+            {
+                Err(Refusal::Behind)
             }
-            (None, Command::Forward { min_position, text, .. }) => {
-                let behind =
-                    min_position.is_some_and(|min| min > Mark::new(server.term, server.log));
-                let writes = text.starts_with("WRITE");
-                match (behind, writes && !claims_primary) {
-                    (true, _) => Err(Refusal::Behind),
-                    (_, true) => Err(Refusal::ReadOnly),
-                    _ => Ok(connection.in_transaction),
+            Command::Begin { read_only: false, .. } if !claims_primary => Err(Refusal::ReadOnly),
+            Command::Execute { .. } if text.is_none() => Err(Refusal::UnknownStatement),
+            _ if writes && !claims_primary => Err(Refusal::ReadOnly),
+            Command::Rollback => Ok(()),
+            _ if connection.failed => Err(Refusal::Malformed("the transaction failed".into())),
+            _ => Ok(()),
+        };
+        let is_statement = matches!(command, Command::Forward { .. } | Command::Execute { .. });
+        let injected = if is_statement {
+            server.refusals.pop().map(|refusal| (refusal, false))
+        } else {
+            let due = server.setup_refusal.take_if(|it| it.step == step(command));
+            due.map(|it| (it.refusal, it.takes_effect))
+        };
+        let result = match injected {
+            Some((refusal, takes_effect)) => {
+                if takes_effect {
+                    connection.set_up(command).expect("the command can take effect");
                 }
+                Err(refusal)
             }
-            (None, Command::Report) => {
-                let received = Mark::new(server.term, server.log);
-                report = Some(Report { claims_primary, received });
-                Ok(false)
-            }
-            (None, Command::Rollback) => Ok(false),
-            (None, _) => Ok(connection.in_transaction),
+            None => check.and_then(|()| connection.set_up(command)),
         };
-        if let (Ok(_), Command::Forward { text, .. }) = (&result, command) {
-            server.ran.push((connection.workspace.clone(), text.to_string()));
-            connection.wrote |= text.starts_with("WRITE");
+        let text = text.filter(|_| result.is_ok() && is_statement);
+        if let Some(text) = &text {
+            server.ran.push((connection.workspace.clone(), text.clone()));
+            server.values.push(connection.values.clone());
+            connection.writes.extend(writes.then(|| text.clone()));
         }
-        let commits = matches!(command, Command::Forward { text, .. }
-            if *text == "COMMIT" || (text.starts_with("WRITE") && !connection.in_transaction));
-        if result.is_ok() && commits && connection.wrote {
-            server.log += 1;
-            connection.superseded_commit |= server.superseded;
-            connection.wrote = false;
+        let commits =
+            text.as_ref().is_some_and(|text| text == "COMMIT" || !connection.in_transaction);
+        if commits {
+            if !connection.writes.is_empty() {
+                server.log += 1;
+                connection.superseded_commit |= server.superseded;
+                server.committed.append(&mut connection.writes);
+            }
+            connection.in_transaction = false;
         }
-        let ends = matches!(command, Command::Forward { text, .. } if *text == "COMMIT");
-        connection.in_transaction = match (&result, ends) {
-            (Ok(open), false) => *open,
-            (Ok(_), true) => false,
-            (Err(_), _) => connection.in_transaction,
-        };
-        let status = match (connection.in_transaction, result.is_ok()) {
+        connection.failed |= result.is_err() && connection.in_transaction;
+        let status = match (connection.in_transaction, connection.failed) {
             (false, _) => Status::Idle,
-            (true, true) => Status::Open,
-            (true, false) => Status::Failed,
+            (true, false) => Status::Open,
+            (true, true) => Status::Failed,
         };
         let mark = Some(Mark::new(server.term, server.log));
+        let report = matches!(command, Command::Report)
+            .then(|| Report { claims_primary, received: Mark::new(server.term, server.log) });
         let receipt = if connection.superseded_commit { "superseded" } else { "receipt" };
         connection.superseded_commit = false;
         let rows = Vec::new();
-        Answer { rows, result: result.map(|_| Bytes::from(receipt)), status, mark, report }
+        Answer { rows, result: result.map(|()| Bytes::from(receipt)), status, mark, report }
     }
 
     /// Replicates the primaries' commits to their replicas.
@@ -1210,7 +1299,7 @@
 }
 
 fn statement(text: &str) -> Statement {
-    let mut words = text.split(' ');
+    let mut words = text.splitn(3, ' ');
     let mut word = || words.next().unwrap_or_default();
     match (word(), word()) {
         ("BEGIN", kind) => Statement::Begin { read_only: kind == "READ" },
@@ -1219,6 +1308,14 @@
         ("READ", _) => Statement::Data(Access::Read),
         ("WRITE", _) => Statement::Data(Access::Write),
         ("SET", name) => Statement::Set { name: name.into(), value: word().into() },
+        ("PREPARE", name) => {
+            let template = word();
+            let writes = template.starts_with("WRITE");
+            let access = if writes { Access::Write } else { Access::Read };
+            let prepared = Prepared { access, template: template.into() };
+            Statement::Prepare { name: name.into(), prepared }
+        }
+        ("EXECUTE", name) => Statement::Execute { name: name.into(), parameters: word().into() },
         _ => Statement::Unknown,
     }
 }
