fix(pool): a connection whose setup command failed late serves nobody else

A statement could run with another client's session values, or without its own: a SET, RESET or PREPARE that answers FAILED or TIMEOUT has run, by the protocol's page, and may have taken effect.

Change: such a connection is closed when its session releases it. After a refusal that promises no run it is kept.

--- a/crates/gcl-direct/src/connection.rs
+++ b/crates/gcl-direct/src/connection.rs
@@ -81,6 +81,8 @@
     pub last_used: Duration,
     values: Values,
     prepared: IndexMap<Prepared, CompactString>,
+    /// Whether a setup command may have taken effect although it failed.
+    is_setup_unknown: bool,
 }
 
 impl Connection {
@@ -97,6 +99,7 @@
             last_used: now,
             values: Values::new(),
             prepared: IndexMap::new(),
+            is_setup_unknown: false,
         }
     }
 
@@ -145,6 +148,19 @@
         format_compact!("g{}", self.prepared.len())
     }
 
+    /// Whether other sessions may use it: the session values and prepared statements that its server
+    /// holds are known.
+    #[must_use]
+    pub const fn is_reusable(&self) -> bool {
+        !self.is_setup_unknown
+    }
+
+    /// Records that a step failed after its command ran, so that it may have taken effect. Whether a
+    /// transaction was opened is known from the answer.
+    pub const fn on_failed(&mut self, step: &Step) {
+        self.is_setup_unknown |= matches!(step, Step::Reset | Step::Set(..) | Step::Prepare(_));
+    }
+
     /// Records the effect of a step that succeeded.
     pub fn apply(&mut self, step: Step) {
         match step {
--- a/crates/gcl-direct/src/pool/mod.rs
+++ b/crates/gcl-direct/src/pool/mod.rs
@@ -406,8 +406,8 @@
     }
 }
 
-/// Releases a connection from its session, and rolls back its open transaction. A connection with
-/// an unanswered command is closed.
+/// Releases a connection from its session, and rolls back its open transaction. A connection is closed
+/// if a command on it is unanswered or what its server holds for it is unknown.
 pub fn release(daemon: &mut Daemon, now: Now, fx: &mut Effects, connection: id::Connection) {
     let Some(conn) = daemon.connections.get_mut(&connection) else {
         return;
@@ -423,9 +423,9 @@
     if matches!(conn.in_flight, Some((Step::Rollback | Step::Report, _))) {
         return;
     }
-    let (in_flight, in_transaction) = (conn.in_flight.is_some(), conn.in_transaction);
-    let closed = evacuation::is_closed(daemon, now, &server);
-    if in_flight || closed {
+    let is_usable = conn.in_flight.is_none() && conn.is_reusable();
+    let in_transaction = conn.in_transaction;
+    if !is_usable || evacuation::is_closed(daemon, now, &server) {
         close(daemon, fx, connection);
     } else if in_transaction {
         send(daemon, now, fx, connection, Step::Rollback, Command::Rollback);
--- a/crates/gcl-direct/src/reduce.rs
+++ b/crates/gcl-direct/src/reduce.rs
@@ -206,10 +206,12 @@
         }
         (step, Some(session)) => {
             let refusal = answer.result.err();
-            if refusal.is_none()
-                && let Some(conn) = state.connections.get_mut(&connection)
-            {
-                conn.apply(step.clone());
+            if let Some(conn) = state.connections.get_mut(&connection) {
+                match &refusal {
+                    None => conn.apply(step.clone()),
+                    Some(refusal) if !refusal.not_run() => conn.on_failed(&step),
+                    Some(_) => {}
+                }
             }
             let outcome = (&step, refusal.as_ref());
             request::on_setup_answered(state, now, fx, session, connection, outcome);
--- a/crates/gcl-direct/tests/direct/setup.rs
+++ b/crates/gcl-direct/tests/direct/setup.rs
@@ -9,6 +9,9 @@
 use gcl_direct::backend::Refusal;
 use test_case::{test_case, test_matrix};
 
+/// Time within which a setup command fails and its statement is not tried again yet.
+const FAILED_SETUP_MS: u64 = 12;
+
 /// Where the caller's statements run.
 #[derive(Clone, Copy, Debug)]
 enum At {
@@ -48,6 +51,20 @@
     world.server("a").setup_refusal = Some(setup_refusal);
 }
 
+/// Makes the next command of a kind fail after it has taken effect.
+fn fail_late(world: &mut World, step: &'static str, refusal: Refusal) {
+    let setup_refusal = SetupRefusal { step, refusal, takes_effect: true };
+    world.server("a").setup_refusal = Some(setup_refusal);
+}
+
+/// The session values of the connection that a statement ran on last.
+fn values_of(world: &World, text: &str) -> Vec<(String, String)> {
+    let server = &world.servers["a"];
+    let index = server.ran.iter().rposition(|(_, it)| it == text).expect("the statement ran");
+    let values = server.values[index].iter();
+    values.map(|(name, value)| (name.to_string(), value.to_string())).collect()
+}
+
 /// Starts a transaction that has written once, and whose next statement needs another value and
 /// another prepared statement on the connection.
 fn start_transaction(world: &mut World, session: Session) {
@@ -184,3 +201,58 @@
     world.end_transactions("a");
     assert_lost_whole(&mut world, session, "EXECUTE two 1 y");
 }
+
+/// Statements ran with another client's session values after a `SET` that failed had taken effect.
+#[test_matrix([Refusal::Failed("some requests fail".into()), Refusal::Timeout], [At::Own, At::Home])]
+fn a_value_that_was_set_by_a_failed_command_reaches_no_other_session(refusal: Refusal, at: At) {
+    let (mut world, session) = world(at);
+    let other = world.login(session.0, "latest", "key");
+    world.query(session, "SET zone b").expect("the value is set");
+    fail_late(&mut world, "set", refusal);
+    world.send(session, "READ 1");
+    world.run(FAILED_SETUP_MS);
+    world.query(other, "READ 2").expect("the read is served");
+    assert_eq!(values_of(&world, "READ 2"), []);
+    world.run(500);
+    assert_eq!(values_of(&world, "READ 1"), [("zone".into(), "b".into())]);
+}
+
+/// The values that a failed reset has dropped are set again.
+#[test_matrix([Refusal::Failed("some requests fail".into()), Refusal::Timeout], [At::Own, At::Home])]
+fn values_that_a_failed_reset_dropped_are_set_again(refusal: Refusal, at: At) {
+    let (mut world, session) = world(at);
+    let other = world.login(session.0, "latest", "key");
+    world.query(session, "SET zone b").expect("the value is set");
+    world.query(session, "READ 1").expect("the read is served");
+    fail_late(&mut world, "reset", refusal);
+    world.send(other, "READ 2");
+    world.run(FAILED_SETUP_MS);
+    assert!(world.servers["a"].setup_refusal.is_none(), "the reset failed");
+    world.query(session, "READ 3").expect("the read is served");
+    assert_eq!(values_of(&world, "READ 3"), [("zone".into(), "b".into())]);
+    world.run(500);
+    assert_eq!(values_of(&world, "READ 2"), []);
+}
+
+/// A statement whose preparing failed late holds its name on the connection.
+#[test_matrix(
+    [Refusal::Failed("some requests fail".into()), Refusal::Timeout],
+    [At::Own, At::Home],
+    [false, true]
+)]
+fn a_name_that_a_failed_command_prepared_is_not_used_again(
+    refusal: Refusal,
+    at: At,
+    started: bool,
+) {
+    let (mut world, session) = world(at);
+    if started {
+        start_transaction(&mut world, session);
+        fail_late(&mut world, "prepare", refusal);
+        return assert_lost_whole(&mut world, session, "EXECUTE two 1 y");
+    }
+    fail_late(&mut world, "prepare", refusal);
+    world.query(session, "EXECUTE one 1 x").expect("the write is served");
+    world.query(session, "EXECUTE two 1 y").expect("the write is served");
+    assert_eq!(world.servers["a"].committed, ["WRITE first 1 x", "WRITE second 1 y"]);
+}
