feat(watch): log the positions of a server whose entry is removed

The line 'moving the primary' says which position counted, but nothing says which position was known before, so that a forgotten position, a wrong report and a timeout that passed cannot be told apart.

Change: 'server gone' says the applied and the received position.

--- a/crates/gcl-direct/src/watch/server.rs
+++ b/crates/gcl-direct/src/watch/server.rs
@@ -119,7 +119,10 @@
 
 fn remove(daemon: &mut Daemon, now: Now, fx: &mut Effects, server: &id::Server) {
     daemon.watch.lapsed.swap_remove(server);
-    fx.log(Line::state_change("server gone").with("server", server));
+    let line = Line::state_change("server gone").with("server", server);
+    let pool = daemon.pools.get(server);
+    let line = line.mark("applied", pool.and_then(|pool| pool.mark));
+    fx.log(line.mark("received", pool.and_then(|pool| pool.received)));
     request::disconnect_server(daemon, now, fx, server, "the server is gone");
     if let Some(entry) = daemon.directory.swap_remove(server) {
         if daemon.watch.removed.len() >= MAX_REMOVED {
