feat(config): read the number of synchronous replicas of a database

The encoding of the configuration between daemons stays as it is. A host that got its configuration from an older one takes the databases' properties from the store's copy of the same version.

--- a/crates/gcl-direct/src/config.rs
+++ b/crates/gcl-direct/src/config.rs
@@ -59,6 +59,10 @@
     pub connections: usize,
     /// Statements a second that one of its servers bears while it is cold, zero for no limit.
     pub cold_rate: f64,
+    /// Replicas that have received a commit before it is acknowledged. It is not part of the encoding,
+    /// since an older release could not skip it: see [`crate::discovery::Update::synchronous`].
+    #[serde(skip)]
+    pub synchronous_replicas: usize,
 }
 
 /// The rate limit of a workspace.
--- a/crates/gcl-direct/src/discovery.rs
+++ b/crates/gcl-direct/src/discovery.rs
@@ -81,6 +81,10 @@
     /// The priorities of the configuration's workspaces, without those that have the highest.
     #[serde(default, deserialize_with = "trailing::or_default")]
     pub priorities: Vec<(id::Workspace, u32)>,
+    /// The number of synchronous replicas of the configuration's databases, without those that have
+    /// none.
+    #[serde(default, deserialize_with = "trailing::or_default")]
+    pub synchronous: Vec<(id::Database, usize)>,
 }
 
 impl Update {
@@ -90,10 +94,15 @@
         let workspaces = config.iter().flat_map(|config| &config.workspaces);
         let priorities = workspaces.filter(|(_, workspace)| workspace.priority > 0);
         let priorities = priorities.map(|(name, workspace)| (name.clone(), workspace.priority));
-        Self { priorities: priorities.collect(), config, ..Self::default() }
+        let priorities = priorities.collect();
+        let databases = config.iter().flat_map(|config| &config.databases);
+        let synchronous = databases.filter(|(_, database)| database.synchronous_replicas > 0);
+        let synchronous =
+            synchronous.map(|(name, database)| (name.clone(), database.synchronous_replicas));
+        Self { synchronous: synchronous.collect(), priorities, config, ..Self::default() }
     }
 
-    /// Takes the configuration, with the priorities of its workspaces.
+    /// Takes the configuration, with what its encoding lacks.
     #[must_use]
     pub fn take_config(&mut self) -> Option<Arc<Config>> {
         let mut config = self.config.take()?;
@@ -105,6 +114,14 @@
                 }
             }
         }
+        if !self.synchronous.is_empty() {
+            let databases = &mut Arc::make_mut(&mut config).databases;
+            for (name, replicas) in std::mem::take(&mut self.synchronous) {
+                if let Some(database) = databases.get_mut(&name) {
+                    database.synchronous_replicas = replicas;
+                }
+            }
+        }
         Some(config)
     }
 }
--- a/crates/gcl-direct/src/watch/mod.rs
+++ b/crates/gcl-direct/src/watch/mod.rs
@@ -319,7 +319,10 @@
         Contents::Operator { config, evacuations } => {
             evacuation::on_changes(daemon, now, fx, &evacuations, revision, full);
             match config {
-                Some(Ok(config)) => on_config(daemon, now, fx, config.into()),
+                Some(Ok(config)) => {
+                    complete_config(daemon, &config);
+                    on_config(daemon, now, fx, config.into());
+                }
                 Some(Err(fault)) => {
                     fx.log(Line::state_change("configuration refused").with("fault", fault));
                 }
@@ -331,6 +334,15 @@
     }
 }
 
+/// Takes over from the store what a configuration of the same version lacks that a host of an older
+/// release has sent: such a host does not know all properties of databases.
+fn complete_config(daemon: &mut Daemon, config: &Config) {
+    let known = daemon.config.as_mut().filter(|known| known.version == config.version);
+    if let Some(known) = known.filter(|known| known.databases != config.databases) {
+        Arc::make_mut(known).databases.clone_from(&config.databases);
+    }
+}
+
 /// Applies a configuration, unless a newer one is in force.
 pub fn on_config(daemon: &mut Daemon, now: Now, fx: &mut Effects, config: Arc<Config>) {
     let before = daemon.config.as_ref().map_or(0, |config| config.version);
--- a/crates/gcl-direct/tests/direct/allocation.rs
+++ b/crates/gcl-direct/tests/direct/allocation.rs
@@ -24,7 +24,7 @@
 fn fleet() -> World {
     let mut world = World::with_domains(FLEET, 6);
     world.configure(|config| {
-        let limits = Database { connections: LIMIT, cold_rate: 0.0 };
+        let limits = Database { connections: LIMIT, cold_rate: 0.0, synchronous_replicas: 0 };
         config.databases.insert(DATABASE.into(), limits);
         for workspace in 0..WORKSPACES {
             let name = id::Workspace::from(format!("w{workspace}"));
--- a/crates/gcl-direct/tests/direct/cold.rs
+++ b/crates/gcl-direct/tests/direct/cold.rs
@@ -41,7 +41,7 @@
 ) {
     let mut world = World::new(daemons);
     world.configure(|config| {
-        let limits = Database { connections: 46, cold_rate: RATE };
+        let limits = Database { connections: 46, cold_rate: RATE, synchronous_replicas: 0 };
         config.databases.insert(DATABASE.into(), limits);
     });
     world.run(13_000);
--- a/crates/gcl-direct/tests/direct/evacuation.rs
+++ b/crates/gcl-direct/tests/direct/evacuation.rs
@@ -64,7 +64,10 @@
 fn an_evacuated_failure_domain_is_left_within_the_bound(daemons: usize) {
     let mut world = World::new(daemons);
     world.configure(|config| {
-        config.databases.insert(DATABASE.into(), Database { connections: 46, cold_rate: 0.0 });
+        config.databases.insert(
+            DATABASE.into(),
+            Database { connections: 46, cold_rate: 0.0, synchronous_replicas: 0 },
+        );
     });
     world.run(13_000);
     load(&mut world, 2);
--- a/crates/gcl-direct/tests/direct/trailing.rs
+++ b/crates/gcl-direct/tests/direct/trailing.rs
@@ -6,7 +6,7 @@
 use gcl_direct::{
     balance::Load,
     caller::Reply,
-    config::{Config, Workspace},
+    config::{Config, Database, Workspace},
     connection::Values,
     discovery::{Host, Update},
     evacuation,
@@ -116,9 +116,34 @@
     let mut config = Config { version: 3, ..Config::default() };
     config.workspaces.insert("a".into(), Workspace { priority: 2, ..Workspace::default() });
     config.workspaces.insert("b".into(), Workspace::default());
+    let database = Database { connections: 20, cold_rate: 0.0, synchronous_replicas: 1 };
+    config.databases.insert("orders".into(), database);
+    config.databases.insert("hire".into(), Database { synchronous_replicas: 0, ..database });
     config
 }
 
+/// [`Update`] as of commit d350943.
+#[derive(Debug, PartialEq, Serialize, Deserialize)]
+struct UpdateOfD350943 {
+    config: Option<Arc<Config>>,
+    locations: Option<Vec<Location>>,
+    hosts: Option<Vec<Host>>,
+    priorities: Vec<(id::Workspace, u32)>,
+}
+
+#[test]
+fn synchronous_replicas_travel_beside_the_configuration() {
+    let update = Update::with_config(Some(Arc::new(config())));
+    assert_eq!(update.synchronous, [("orders".into(), 1)]);
+    let old = recode::<UpdateOfD350943>(&update);
+    assert_eq!(old.priorities, [("a".into(), 2)]);
+    assert_eq!(old.config.as_ref().expect("the configuration is read").databases.len(), 2);
+    let mut from_old = recode::<Update>(&old);
+    assert_eq!(from_old.priorities, [("a".into(), 2)]);
+    let config = from_old.take_config().expect("the configuration is read");
+    assert!(config.databases.values().all(|database| database.synchronous_replicas == 0));
+}
+
 #[test]
 fn priorities_of_workspaces_travel_beside_the_configuration() {
     let update = Update::with_config(Some(Arc::new(config())));
--- a/crates/gcl-direct/tests/direct/world.rs
+++ b/crates/gcl-direct/tests/direct/world.rs
@@ -323,7 +323,10 @@
     config.routes.insert("latest".into(), route(Freshness::Latest));
     config.routes.insert("bounded".into(), route(Freshness::Bounded(age)));
     config.routes.insert("own".into(), route(Freshness::ReadYourWrites(age)));
-    config.databases.insert(DATABASE.into(), Database { connections: 20, cold_rate: 0.0 });
+    config.databases.insert(
+        DATABASE.into(),
+        Database { connections: 20, cold_rate: 0.0, synchronous_replicas: 0 },
+    );
     let limit = Some(Rate { rate: 1000.0, burst: 1000.0 });
     config.workspaces.insert("w".into(), Workspace { limit, ..Workspace::default() });
     config.keys.insert("key".into(), "w".into());
@@ -400,7 +403,7 @@
             let mut latest = Route::clone(&route(Freshness::Latest));
             latest.database = name.into();
             config.routes.insert(name.into(), Arc::new(latest));
-            let database = Database { connections: 20, cold_rate: 0.0 };
+            let database = Database { connections: 20, cold_rate: 0.0, synchronous_replicas: 0 };
             config.databases.insert(name.into(), database);
         });
         for (index, (server, domain)) in servers.into_iter().enumerate() {
