refactor(request): build a statement's command in a function of its own

Change: no behaviour changes; a test shows that unknown coordination keys are left aside, as a release does that does not know the members' key.

--- a/crates/gcl-direct/src/request/run.rs
+++ b/crates/gcl-direct/src/request/run.rs
@@ -8,17 +8,17 @@
 use crate::{
     backend::{Command, Refusal},
     cold,
-    connection::Step,
+    connection::{Connection, Step},
     effect::Effects,
     line::Line,
     placement::Need,
     pool,
     session::Transaction,
     state::State as Daemon,
-    statement::{Access, Statement},
+    statement::{Access, Prepared, Query, Statement},
     timer,
 };
-use gcl_core::{id, time::Now};
+use gcl_core::{id, mark::Mark, time::Now};
 
 /// Handles the assignment of a connection to a queued statement.
 pub fn on_connection(
@@ -94,21 +94,30 @@
         open.started = true;
         open.wrote |= request.access == Access::Write;
     }
-    let id = request.query.id.clone();
+    let command = statement_command(&request.query, conn, prepared, min_position);
+    request.stage = Stage::Sent(connection);
+    daemon.timers.arm(timer::Key::Deadline(session), request.deadline);
+    pool::send(daemon, now, fx, connection, Step::Statement, command);
+}
+
+/// The command that runs a statement on a connection that is set up for it.
+fn statement_command(
+    query: &Query,
+    conn: &Connection,
+    prepared: Option<&Prepared>,
+    min_position: Option<Mark>,
+) -> Command {
+    let id = query.id.clone();
     let min_position = min_position.filter(|_| !conn.in_transaction);
-    let command = match (&request.query.statement, prepared.and_then(|it| conn.statement_name(it)))
-    {
+    match (&query.statement, prepared.and_then(|it| conn.statement_name(it))) {
         (Statement::Execute { parameters, .. }, Some(name)) => Command::Execute {
             id,
             min_position,
             name: name.clone(),
             parameters: parameters.clone(),
         },
-        _ => Command::Forward { id, min_position, text: request.query.text.clone() },
-    };
-    request.stage = Stage::Sent(connection);
-    daemon.timers.arm(timer::Key::Deadline(session), request.deadline);
-    pool::send(daemon, now, fx, connection, Step::Statement, command);
+        _ => Command::Forward { id, min_position, text: query.text.clone() },
+    }
 }
 
 /// Handles the end of a command that set up a connection for a statement.
--- a/crates/gcl-direct/tests/direct/watch.rs
+++ b/crates/gcl-direct/tests/direct/watch.rs
@@ -154,3 +154,14 @@
     assert!(lines(&world, "moving the primary") <= 2, "moves replace each other");
     assert!(took < 4000, "{took} ms");
 }
+
+/// A later release may write coordination keys that this one does not know.
+#[test]
+fn an_unknown_coordination_key_is_left_aside() {
+    let mut world = World::new(3);
+    world.put_item("goldcrest/later/orders", "{");
+    world.run(1000);
+    assert!(world.nodes.iter().all(|node| node.ready));
+    let session = world.login(0, "latest", "key");
+    world.query(session, "WRITE 1 x").expect("the write is served");
+}
