fix(failover): with synchronous replicas only a server that has all commits is promoted

Cause: the primary's newest position was dropped with its entry, the wait for a successor that lacks commits ended in its promotion, and sync_replicas was not read.

Evidence: 'server gone' with applied=1.1474, 88 ms after 'moving the primary' with seen=1.1474 has=1.987, and no 'successor lacks commits' before the promotion.

Change: quorum. Of m members any m - n include a holder of each commit, so the newest of so many reports, requested after the release, has them all; nothing else is promoted, and no move is begun that cannot be decided. Databases without synchronous replicas are moved as before.

--- a/crates/gcl-direct/src/failover/attempt.rs
+++ b/crates/gcl-direct/src/failover/attempt.rs
@@ -6,7 +6,7 @@
     era, gossip,
     group::{self, Intention, Leader},
     line::Line,
-    pool, revocation,
+    pool, quorum, revocation,
     state::State as Daemon,
     store::Topic,
     timer,
@@ -134,7 +134,11 @@
     };
     let seen = newest_position(daemon, database, &from, attempt.revision);
     let received = successor::received(daemon, &to);
-    if received >= seen || attempt.requested_at.is_some() {
+    let has_all = |daemon: &Daemon, server: &id::Server| {
+        quorum::has_all_commits(daemon, database, server, attempt.released_at)
+    };
+    let proven = has_all(daemon, &to);
+    if (received >= seen && proven) || attempt.requested_at.is_some() {
         return request_promotion(daemon, now, fx, database, attempt, to);
     }
     // The target lacks commits that daemons saw at the old primary, which may have failed meanwhile.
@@ -144,19 +148,26 @@
     let sends = planned && still_sends(daemon, now, &from);
     let timeout = if sends { PLANNED_CATCH_UP_TIMEOUT } else { CATCH_UP_TIMEOUT };
     let waited = attempt.released_at.map_or(Duration::ZERO, |at| now.since(at));
-    let holder =
-        successor::newest_holder(daemon, now, fx, database).filter(|it| it.mark > received);
+    quorum::poll(daemon, now, fx, database);
+    let holder = successor::newest_holder(daemon, now, fx, database)
+        .filter(|it| it.mark > received || (!proven && has_all(daemon, &it.server)))
+        .filter(|it| it.server != to);
     let exchanges = holder.as_ref().is_some_and(|it| it.mark >= seen || !sends);
     let delay = if exchanges { EXCHANGE_DELAY } else { timeout };
     let in_flight = tracker_mut(daemon, database).call.is_some();
     if in_flight || waited < delay {
         return;
     }
-    let line = Line::state_change("successor lacks commits").with("database", database);
-    fx.log(line.with("to", &to).mark("has", received).mark("seen", seen));
+    let undetermined = holder.is_none() && !proven;
+    if !std::mem::replace(&mut tracker_mut(daemon, database).undetermined, undetermined) {
+        let line = Line::state_change("successor lacks commits").with("database", database);
+        let line = line.with("to", &to).mark("has", received).mark("seen", seen);
+        fx.log(line.with("proven", proven));
+    }
     match holder {
         Some(holder) => super::exchange_successor(daemon, now, fx, database, from, holder),
-        None => request_promotion(daemon, now, fx, database, attempt, to),
+        None if proven => request_promotion(daemon, now, fx, database, attempt, to),
+        None => {}
     }
 }
 
--- a/crates/gcl-direct/src/failover/mod.rs
+++ b/crates/gcl-direct/src/failover/mod.rs
@@ -37,7 +37,7 @@
     group::{self, Intention, Leader},
     home,
     line::Line,
-    pool, request,
+    pool, quorum, request,
     state::State as Daemon,
     store::{Call, Result, Topic, Written},
     timer,
@@ -73,6 +73,8 @@
     attempt: Option<Attempt>,
     /// Whether a move is due but the view of the store is too old to decide it.
     deferred: bool,
+    /// Whether too few servers respond to determine a successor.
+    undetermined: bool,
 }
 
 /// Suspicions and moves of this daemon.
@@ -116,6 +118,7 @@
 /// Checks a database's primary, and takes the next step towards its replacement.
 pub fn review(daemon: &mut Daemon, now: Now, fx: &mut Effects, database: &id::Database) {
     record_primary(daemon, now, database);
+    quorum::review(daemon, now, fx, database);
     rewrite(daemon, now, fx, database);
     release(daemon, now, fx, database);
     advance(daemon, now, fx, database);
@@ -124,7 +127,7 @@
     let rank = rank(daemon, database);
     let tracker = tracker_mut(daemon, database);
     let Some(cause) = cause else {
-        tracker.suspected = None;
+        (tracker.suspected, tracker.undetermined) = (None, false);
         return poll_others(daemon, now, fx, database);
     };
     let since = match tracker.suspected {
@@ -150,12 +153,23 @@
     };
     let standby_delay = if is_checker(daemon, database) { Duration::ZERO } else { STANDBY_DELAY };
     let due = since + evidence.grace_period() + relay_delay + RANK_STEP * rank + standby_delay;
-    if now.mono >= due && may_decide(daemon, now, fx, database) {
+    if now.mono >= due && is_decidable(daemon, now, fx, database) {
         write_intention(daemon, now, fx, database, cause);
     }
     daemon.timers.arm_by(timer::Key::Failover(database.clone()), now.mono + CHECK_INTERVAL);
 }
 
+/// Whether a move can be decided now: by a recent view of the store, and by enough servers.
+fn is_decidable(daemon: &mut Daemon, now: Now, fx: &mut Effects, database: &id::Database) -> bool {
+    let responds = quorum::responds(daemon, now, database);
+    let undetermined = &mut tracker_mut(daemon, database).undetermined;
+    if !responds && !std::mem::replace(undetermined, true) {
+        quorum::log_undetermined(daemon, now, fx, database);
+    }
+    tracker_mut(daemon, database).undetermined = !responds;
+    responds && may_decide(daemon, now, fx, database)
+}
+
 /// Records a new primary. Failures before it became primary no longer count.
 fn record_primary(daemon: &mut Daemon, now: Now, database: &id::Database) {
     let Leader::Known(server) = authority::leader(daemon, database) else {
@@ -207,6 +221,12 @@
     u32::try_from(before.count() + 1).unwrap_or(MAX_RANK).min(MAX_RANK)
 }
 
+/// How long this daemon waits before it writes a key of a database, so that daemons with a lower rank
+/// do it first.
+pub(crate) fn rank_delay(daemon: &Daemon, database: &str) -> Duration {
+    RANK_STEP * rank(daemon, database)
+}
+
 fn cause(daemon: &Daemon, now: Now, database: &id::Database) -> Option<Cause> {
     let group = daemon.groups.get(database)?;
     if !daemon.watch.is_complete() || !daemon.lease.is_valid(now.mono) {
@@ -260,6 +280,9 @@
     for candidate in candidates.iter().filter(|it| it.reachable && checks) {
         pool::poll_position(daemon, now, fx, &candidate.server);
     }
+    if checks {
+        quorum::poll(daemon, now, fx, database);
+    }
     let seen = newest_position(daemon, database, &from);
     let best = select_successor(candidates);
     let (known, reachable) = gossip::peer_counts(daemon, now);
--- a/crates/gcl-direct/src/group.rs
+++ b/crates/gcl-direct/src/group.rs
@@ -9,6 +9,7 @@
     directory::{self, Directory},
     era,
     observation::History,
+    quorum,
     store::Era,
 };
 use compact_str::{CompactString, format_compact};
@@ -94,9 +95,12 @@
     pub history: History,
     /// The last known primary.
     pub last_primary: Option<id::Server>,
-    /// The newest log position that earlier incarnations of its primaries reported. Commits up to it
-    /// may have been acknowledged, whatever those servers hold since.
+    /// The newest log position that earlier incarnations of its primaries reported, and, with
+    /// synchronous replicas, those whose entries lapsed. Commits up to it may have been acknowledged,
+    /// whatever those servers hold since.
     pub acknowledged: Option<Mark>,
+    /// The servers that may hold acknowledged commits, if it has synchronous replicas.
+    pub members: quorum::Members,
 }
 
 impl Group {
--- a/crates/gcl-direct/src/lib.rs
+++ b/crates/gcl-direct/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod pool;
 pub mod position;
 pub mod queue;
+pub mod quorum;
 pub mod reduce;
 pub mod region;
 pub mod registration;
--- a/crates/gcl-direct/src/pool/mod.rs
+++ b/crates/gcl-direct/src/pool/mod.rs
@@ -88,6 +88,8 @@
     pub mark: Option<Mark>,
     /// The newest log position that the server had received at its last report.
     pub received: Option<Mark>,
+    /// When the last report was requested that was answered, and the position received by then.
+    pub reported: Option<(Duration, Mark)>,
     /// When either of these positions last grew.
     pub observed_at: Duration,
     /// When that report was last requested.
@@ -112,6 +114,7 @@
             busy_until: Duration::ZERO,
             mark: None,
             received: None,
+            reported: None,
             observed_at: Duration::ZERO,
             polled: Duration::ZERO,
         }
--- a/crates/gcl-direct/src/reduce.rs
+++ b/crates/gcl-direct/src/reduce.rs
@@ -168,6 +168,7 @@
     if let Some(pool) = state.pools.get_mut(&server) {
         pool.mark = answer.mark.max(pool.mark);
         pool.received = received.or(pool.received);
+        pool.reported = received.map(|received| (sent, received)).or(pool.reported);
         if step == Step::Statement {
             pool.on_latency(now, now.since(sent));
         } else {
--- a/crates/gcl-direct/src/restart.rs
+++ b/crates/gcl-direct/src/restart.rs
@@ -20,7 +20,7 @@
     group::Group,
     line::Line,
     pool::{self, Pool},
-    request,
+    quorum, request,
     state::State as Daemon,
 };
 use gcl_core::{id, mark::Mark, time::Now};
@@ -65,12 +65,19 @@
 ) {
     daemon.restarts.retain(|_, at| now.since(*at) < REPORTED_FOR);
     daemon.restarts.insert(server.clone(), now.mono);
-    discard_positions(daemon, fx, server, source);
+    discard_positions(daemon, now, fx, server, source);
     request::disconnect_server(daemon, now, fx, server, "the server started again");
 }
 
 /// Discards what was measured and learned at a server. Its queue and connections are kept.
-fn discard_positions(daemon: &mut Daemon, fx: &mut Effects, server: &id::Server, source: Source) {
+fn discard_positions(
+    daemon: &mut Daemon,
+    now: Now,
+    fx: &mut Effects,
+    server: &id::Server,
+    source: Source,
+) {
+    quorum::on_restarted(daemon, now, server);
     let Some(pool) = daemon.pools.get_mut(server) else {
         return;
     };
@@ -84,11 +91,28 @@
     let line = line.with("source", source.name()).mark("applied", before.mark);
     fx.log(line.mark("received", before.received).with("connections", pool.connections.len()));
     fx.count("gcl_server_restarts", source.name());
+    keep_acknowledged(daemon, server, before.mark);
+}
+
+/// Keeps the newest position of a server for its database, if it was the primary.
+fn keep_acknowledged(daemon: &mut Daemon, server: &id::Server, mark: Option<Mark>) {
     let entry = daemon.directory.get(server);
     if let Some(group) = entry.and_then(|entry| daemon.groups.get_mut(&entry.database))
         && was_primary(group, server)
     {
-        group.acknowledged = group.acknowledged.max(before.mark);
+        group.acknowledged = group.acknowledged.max(mark);
+    }
+}
+
+/// Records that a server's entry lapsed, before what is known of the server is dropped. With
+/// synchronous replicas its commits are held elsewhere as well; without, those that no other server
+/// has are lost with it, and nothing is gained by waiting for them.
+pub fn on_gone(daemon: &mut Daemon, now: Now, server: &id::Server) {
+    quorum::on_gone(daemon, now, server);
+    let database = daemon.directory.get(server).map(|entry| &entry.database);
+    if database.is_some_and(|database| quorum::is_synchronous(daemon, database)) {
+        let mark = daemon.pools.get(server).and_then(|pool| pool.mark);
+        keep_acknowledged(daemon, server, mark);
     }
 }
 
@@ -120,7 +144,7 @@
         // them get their outcome when they close.
         let older = pool.connections.iter().copied().filter(|id| *id < connection);
         let older: Vec<_> = older.collect();
-        discard_positions(daemon, fx, &server, Source::Answer);
+        discard_positions(daemon, now, fx, &server, Source::Answer);
         for id in older {
             if daemon.connections.get(&id).is_some_and(Connection::is_idle) {
                 pool::close(daemon, fx, id);
--- a/crates/gcl-direct/src/watch/coordination.rs
+++ b/crates/gcl-direct/src/watch/coordination.rs
@@ -1,12 +1,12 @@
 //! The coordination keys: registrations of daemons, intentions to move primaries, revocations of
-//! leases, and markers of the settled era and of a fleet with entries.
+//! leases, members of databases, and markers of the settled era and of a fleet with entries.
 
 use crate::{
     authority,
     effect::Effects,
     era, failover, group, lease,
     line::Line,
-    request, revocation, role,
+    quorum, request, revocation, role,
     state::{Member, State as Daemon},
     store::Item,
 };
@@ -32,6 +32,8 @@
             era::on_settled_key(daemon, fx, item.value.as_deref(), item.revision);
         } else if item.key == revocation::KEY {
             revocation::on_key(daemon, now, fx, item.value.as_deref(), item.revision);
+        } else if let Some(database) = item.key.strip_prefix(quorum::record::PREFIX) {
+            quorum::record::on_key(daemon, now, fx, database, &item);
         } else if let Some(database) = item.key.strip_prefix(group::PREFIX) {
             on_intention(daemon, now, fx, &id::Database::from(database), &item);
         }
@@ -53,6 +55,7 @@
             daemon.watch.unlist(now, &name);
         }
     }
+    quorum::record::on_unlisted(daemon, listed);
     if !listed(&lease::key(&daemon.settings.daemon)) {
         daemon.lease.revision = 0;
     }
--- a/crates/gcl-direct/src/watch/mod.rs
+++ b/crates/gcl-direct/src/watch/mod.rs
@@ -20,7 +20,7 @@
     effect::Effects,
     era, evacuation, failover, home, limit,
     line::Line,
-    registration, revocation,
+    quorum, registration, revocation,
     role::{self, Role},
     session,
     state::State as Daemon,
@@ -193,6 +193,7 @@
         }
         Event::Written(call, result) => {
             if !revocation::on_written(daemon, fx, call, &result)
+                && !quorum::record::on_written(daemon, fx, call, &result)
                 && !registration::on_written(daemon, now, fx, call, result)
             {
                 failover::on_written(daemon, now, fx, call, result);
--- a/crates/gcl-direct/src/watch/server.rs
+++ b/crates/gcl-direct/src/watch/server.rs
@@ -1,8 +1,8 @@
 //! Server entries: additions, changes and lapses.
 
 use crate::{
-    cold, directory::Entry, effect::Effects, era, failover, line::Line, pool, request, restart,
-    state::State as Daemon, store::Topic, timer,
+    cold, directory::Entry, effect::Effects, era, failover, line::Line, pool, quorum, request,
+    restart, state::State as Daemon, store::Topic, timer,
 };
 use gcl_core::{code::Fault, id, time::Now};
 use std::time::Duration;
@@ -89,6 +89,11 @@
     let (database, leads, draining) =
         (entry.database.clone(), entry.claims_primary, entry.draining);
     cold::on_entry(daemon, now, server, &entry);
+    if database_of(daemon, server).is_some_and(|before| before != database) {
+        restart::on_gone(daemon, now, server);
+    } else if !daemon.directory.contains_key(server) {
+        quorum::on_listed(daemon, server, entry.started_ms);
+    }
     daemon.directory.insert(server.clone(), entry);
     daemon.groups.entry(database.clone()).or_default();
     if restarted {
@@ -102,6 +107,11 @@
     }
 }
 
+/// The database that a server is listed with so far.
+fn database_of(daemon: &Daemon, server: &id::Server) -> Option<id::Database> {
+    daemon.directory.get(server).map(|entry| entry.database.clone())
+}
+
 fn on_lapsed_entry(daemon: &mut Daemon, now: Now, fx: &mut Effects, server: &id::Server) {
     if !daemon.directory.contains_key(server) {
         return;
@@ -123,6 +133,7 @@
     let pool = daemon.pools.get(server);
     let line = line.mark("applied", pool.and_then(|pool| pool.mark));
     fx.log(line.mark("received", pool.and_then(|pool| pool.received)));
+    restart::on_gone(daemon, now, server);
     request::disconnect_server(daemon, now, fx, server, "the server is gone");
     if let Some(entry) = daemon.directory.swap_remove(server) {
         if daemon.watch.removed.len() >= MAX_REMOVED {
--- a/crates/gcl-direct/tests/direct/main.rs
+++ b/crates/gcl-direct/tests/direct/main.rs
@@ -32,6 +32,7 @@
 mod primary;
 mod priority;
 mod queue;
+mod quorum;
 mod rate;
 mod region;
 mod request;
--- a/crates/gcl-direct/tests/direct/world.rs
+++ b/crates/gcl-direct/tests/direct/world.rs
@@ -66,6 +66,8 @@
     /// Position in the replication log.
     pub log: u64,
     pub up: bool,
+    /// Whether its VM has no power.
+    pub dark: bool,
     pub replication_paused: bool,
     /// Whether it refuses further connections.
     pub full: bool,
@@ -215,6 +217,11 @@
     pub servers: IndexMap<id::Server, Server>,
     pub config: Config,
     domains: usize,
+    /// Whether the databases acknowledge a commit once one replica has received it. The simulation
+    /// then fails a test in which a server without an acknowledged commit is promoted.
+    pub synchronous: bool,
+    /// The newest acknowledged position of each database.
+    acknowledged: IndexMap<id::Database, Mark>,
     pub store_down: bool,
     /// Whether the store answers nothing, while connections to it stay open. Calls made meanwhile
     /// are never answered, and watches that were open are answered afterwards.
@@ -383,6 +390,7 @@
             term: 1,
             log: 100,
             up: true,
+            dark: false,
             replication_paused: false,
             full: false,
             superseded: false,
@@ -457,6 +465,7 @@
 
     /// Cuts the power of a server: it answers nobody, and its entry lapses a while later.
     pub fn darken(&mut self, name: &str) {
+        self.server(name).dark = true;
         for node in &mut self.nodes {
             node.unreachable.insert(name.into());
         }
@@ -469,6 +478,26 @@
         self.schedule(ENTRY_TTL_MS, Scheduled::Lapse(name.into()));
     }
 
+    /// Allows the loss of commits that were acknowledged so far.
+    pub fn give_up_commits(&mut self) {
+        self.acknowledged.clear();
+    }
+
+    /// Starts a server again whose power was cut, with the log that it had.
+    pub fn brighten(&mut self, name: &str, started_ms: u64) {
+        for node in &mut self.nodes {
+            node.unreachable.swap_remove(name);
+        }
+        self.lapsed.swap_remove(name);
+        let server = self.server(name);
+        server.dark = false;
+        let superseded = server.superseded;
+        self.update_entry(name, |entry| {
+            entry.started_ms = started_ms;
+            entry.claims_primary &= !superseded;
+        });
+    }
+
     /// Updates a server's entry in the store.
     pub fn update_entry(&mut self, name: &str, change: impl FnOnce(&mut Entry)) {
         self.revision += 1;
@@ -606,6 +635,7 @@
                 }
             }
             Scheduled::Promote(name) => self.promote(&name),
+            Scheduled::Lapse(name) if !self.servers[&name].dark => {}
             Scheduled::Lapse(name) => {
                 self.revision += 1;
                 self.lapsed.insert(name, self.revision);
@@ -621,6 +651,14 @@
 
     /// Makes a server the primary and marks all others of its database as superseded.
     fn promote(&mut self, name: &id::Server) {
+        let promoted = &self.servers[name];
+        let position = Mark::new(promoted.term, promoted.log);
+        if let Some(acknowledged) = self.acknowledged.get(&promoted.entry.database) {
+            assert!(
+                position >= *acknowledged,
+                "{name} lacks commits: {position:?} {acknowledged:?}"
+            );
+        }
         let term = self.servers.values().map(|server| server.term).max().unwrap_or(0) + 1;
         let promoted = &self.servers[name];
         let (log, database) = (promoted.log, promoted.entry.database.clone());
@@ -800,7 +838,13 @@
         if self.nodes[id.0].unreachable.contains(&name) {
             return;
         }
+        let before = self.servers[&name].log;
         let answer = self.answer(&mut connection, command);
+        if self.synchronous && self.servers[&name].log > before && !self.replicate_commit(&name) {
+            // No replica has received the commit, so it is not acknowledged.
+            self.connections.insert(id, connection);
+            return;
+        }
         if std::mem::take(&mut self.server(&name).drop_next_answer) {
             self.connections.swap_remove(&id);
             return self.close_connection(id, "connection reset", true);
@@ -882,6 +926,26 @@
         Answer { rows, result: result.map(|()| Bytes::from(receipt)), status, mark, report }
     }
 
+    /// Sends a primary's commits to the replicas that receive any, and records them as acknowledged.
+    /// Returns whether there is one.
+    fn replicate_commit(&mut self, primary: &id::Server) -> bool {
+        let server = &self.servers[primary];
+        let (term, log, database) = (server.term, server.log, server.entry.database.clone());
+        let mut is_held = false;
+        for (name, replica) in &mut self.servers {
+            let receives = replica.up && !replica.dark && !replica.replication_paused;
+            if name != primary && receives && replica.entry.database == database {
+                (replica.term, replica.log) = (term, log);
+                is_held = true;
+            }
+        }
+        let acknowledged = self.acknowledged.entry(database).or_insert(Mark::new(0, 0));
+        if is_held {
+            *acknowledged = Mark::new(term, log).max(*acknowledged);
+        }
+        is_held
+    }
+
     /// Replicates the primaries' commits to their replicas.
     pub fn replicate(&mut self) {
         let primaries =
@@ -891,7 +955,8 @@
         for (database, term, log) in primaries {
             let replicas = self.servers.values_mut().filter(|it| {
                 let entry = &it.entry;
-                entry.database == database && !entry.claims_primary && !it.replication_paused
+                let receives = !it.dark && !it.replication_paused;
+                entry.database == database && !entry.claims_primary && receives
             });
             for server in replicas {
                 (server.term, server.log) = (term, log);
