--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -96,7 +96,8 @@
     let world =
         World { store: Store::start(), record: record.clone(), trouble, folder: scratch.clone() };
     let verdict = match name.as_str() {
-        "sync" => sync::run(&world),
+        "again" => sync::run_again(&world),
+        "refill" => sync::run_refill(&world),
         "crowd" => memory::run_crowd(&world),
         "long" => memory::run_long(&world),
         "stop-queue" => stop::run_queue(&world),
--- a/review/standin-3/server.rs
+++ b/review/standin-3/server.rs
@@ -10,7 +10,10 @@
     collections::{BTreeMap, BTreeSet, VecDeque},
     io::{BufRead, BufReader, ErrorKind, Write},
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
-    sync::{Arc, Condvar, Mutex, MutexGuard},
+    sync::{
+        Arc, Condvar, Mutex, MutexGuard,
+        atomic::{AtomicUsize, Ordering},
+    },
     thread,
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
@@ -76,15 +79,24 @@
     reported: usize,
 }
 
+/// A server that took over.
+#[derive(Clone)]
+pub struct Promotion {
+    pub server: String,
+    /// Items in its log then.
+    pub items: Vec<String>,
+    /// Items whose writes servers had acknowledged by then.
+    pub acknowledged: Vec<String>,
+}
+
 #[derive(Default)]
 struct State {
     servers: BTreeMap<String, Server>,
-    /// What was promoted: server, its log then.
-    promotions: Vec<(String, Vec<String>)>,
+    promotions: Vec<Promotion>,
+    /// The server that was last requested to be promoted.
+    last_request: Option<String>,
     /// Items whose writes the servers have acknowledged, in order.
     acknowledged: Vec<String>,
-    /// How many of them were when each server was last promoted.
-    acknowledged_then: BTreeMap<String, usize>,
     /// Ids of the statements that reached a server.
     reached: BTreeSet<String>,
 }
@@ -95,6 +107,8 @@
     record: Record,
     state: Mutex<State>,
     changed: Condvar,
+    /// Requests for promotions so far.
+    requests: AtomicUsize,
 }
 
 #[derive(Default)]
@@ -152,7 +166,7 @@
             listeners.push(((*id).to_owned(), listener));
         }
         let state = Mutex::new(state);
-        let group = Arc::new(Self { settings, store, record, state, changed: Condvar::new() });
+        let group = Arc::new(Self { settings, store, record, state, changed: Condvar::new(), requests: AtomicUsize::new(0) });
         for (id, listener) in listeners {
             group.register(&id);
             let group = Arc::clone(&group);
@@ -570,16 +584,22 @@
 
     /// Designates the server that takes over; false if it is not running.
     pub fn promote(self: &Arc<Self>, id: &str, fence: &str) -> bool {
-        let state = self.lock();
+        let mut state = self.lock();
+        state.last_request = Some(id.to_owned());
         let up = state.servers.get(id).is_some_and(|it| it.up);
         let leads = state.servers.get(id).is_some_and(|it| it.primary);
+        let life = state.servers.get(id).map(|it| it.life);
         drop(state);
+        self.requests.fetch_add(1, Ordering::Relaxed);
         self.record.line(&format!("platform: promote {id}, fence {fence}, running {up}"));
         if up && !leads {
             let (group, id) = (Arc::clone(self), id.to_owned());
             thread::spawn(move || {
                 thread::sleep(group.settings.promotion);
-                group.take_over(&id);
+                // A promotion ends with the process of its server.
+                if group.lock().servers.get(&id).map(|it| it.life) == life {
+                    group.take_over(&id);
+                }
             });
         }
         up
@@ -595,24 +615,26 @@
         (server.primary, server.term) = (true, term);
         let values = server.log.iter().flat_map(|it| &it.writes);
         let values = values.map(|(item, _)| item.clone()).collect();
-        state.promotions.push((id.to_owned(), values));
-        let acknowledged = state.acknowledged.len();
-        state.acknowledged_then.insert(id.to_owned(), acknowledged);
+        let acknowledged = state.acknowledged.clone();
+        state.promotions.push(Promotion { server: id.to_owned(), items: values, acknowledged });
         drop(state);
         self.record.line(&format!("server {id}: leads term {term} with {count} commits"));
         self.register(id);
     }
 
-    /// Servers that were promoted, each with the items in its log then.
-    pub fn promotions(&self) -> Vec<(String, Vec<String>)> {
-        self.lock().promotions.clone()
+    /// Requests for promotions so far.
+    pub fn requests(&self) -> usize {
+        self.requests.load(Ordering::Relaxed)
     }
 
-    /// Items whose writes servers had acknowledged when a server was last promoted.
-    pub fn acknowledged_before(&self, id: &str) -> Vec<String> {
-        let state = self.lock();
-        let count = state.acknowledged_then.get(id).copied().unwrap_or(0);
-        state.acknowledged[..count].to_vec()
+    /// The server that was last requested to be promoted.
+    pub fn last_request(&self) -> Option<String> {
+        self.lock().last_request.clone()
+    }
+
+    /// Servers that were promoted.
+    pub fn promotions(&self) -> Vec<Promotion> {
+        self.lock().promotions.clone()
     }
 
     /// Whether a statement reached a server.
--- a/review/standin-3/sync.rs
+++ b/review/standin-3/sync.rs
@@ -1,5 +1,5 @@
-//! LOST with synchronous replicas: a replica that started again empty is promoted although it has
-//! not been sent its log again in full.
+//! LOST with synchronous replicas: a replica is promoted that has started again empty, or that has
+//! not been sent its log again in full since.
 
 use crate::{
     Verdict, World,
@@ -31,7 +31,17 @@
 /// 30 Mbit/s between the regions.
 const FAR_RATE: usize = 3_750_000;
 
-pub fn run(world: &World) -> Verdict {
+/// The server that is to take over starts again empty before it leads.
+pub fn run_again(world: &World) -> Verdict {
+    run(world, disrupt_target)
+}
+
+/// A replica starts again empty, and the primary ends while that is sent the log.
+pub fn run_refill(world: &World) -> Verdict {
+    run(world, disrupt_refill)
+}
+
+fn run(world: &World, disrupt: fn(&Group)) -> Verdict {
     let World { record, store, trouble, .. } = world;
     let settings = Settings {
         name: "orders-db".to_owned(),
@@ -104,17 +114,17 @@
         return Verdict::Unclear("no write was acknowledged".to_owned());
     }
     let mut broken = false;
-    for (server, items) in group.promotions() {
-        let items: BTreeSet<_> = items.into_iter().collect();
-        // A later promotion of the same log has more; writes after this one are not in it.
-        let newest = items.iter().filter_map(|it| it[1..].parse::<usize>().ok()).max().unwrap_or(0);
-        let before = group.acknowledged_before(&server);
-        let told: BTreeSet<_> = acknowledged.iter().collect();
+    let told: BTreeSet<_> = acknowledged.iter().collect();
+    for promotion in group.promotions() {
+        let server = &promotion.server;
+        let items: BTreeSet<_> = promotion.items.iter().collect();
+        let before = &promotion.acknowledged;
         let before = before.iter().filter(|it| told.contains(it));
         let lost: Vec<_> = before.filter(|it| !items.contains(*it)).collect();
         record.say(&format!(
-            "{server} was promoted with {} writes, the newest o{newest}; {} acknowledged earlier are not among them",
-            items.len(), lost.len()
+            "{server} was promoted with {} writes; {} acknowledged earlier are not among them",
+            items.len(),
+            lost.len()
         ));
         record.line(&format!("lost: {lost:?}"));
         broken |= !lost.is_empty();
@@ -124,7 +134,7 @@
 
 /// One replica receives nothing for a while; the other starts again empty, and the primary ends while
 /// it is sent its log again.
-fn disrupt(group: &Group) {
+fn disrupt_refill(group: &Group) {
     group.set_deaf("i-b", true);
     thread::sleep(Duration::from_secs(3));
     let (before, _) = group.received("i-c");
@@ -141,3 +151,21 @@
     thread::sleep(Duration::from_secs(5));
     group.restart("i-a", false);
 }
+
+/// The primary ends, and the server that is to take over starts again empty before it leads.
+fn disrupt_target(group: &Group) {
+    let before = group.requests();
+    group.crash("i-a");
+    let end = Instant::now() + Duration::from_secs(7);
+    while group.requests() == before && Instant::now() < end {
+        thread::sleep(Duration::from_millis(5));
+    }
+    thread::sleep(Duration::from_millis(300));
+    if let Some(target) = group.last_request() {
+        group.crash(&target);
+        thread::sleep(Duration::from_millis(500));
+        group.restart(&target, true);
+    }
+    thread::sleep(end.saturating_duration_since(Instant::now()));
+    group.restart("i-a", false);
+}
