--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -101,6 +101,7 @@
         "crowd" => memory::run_crowd(&world),
         "long" => memory::run_long(&world),
         "stop-queue" => stop::run_queue(&world),
+        "stop-ahead" => stop::run_ahead(&world),
         "stop-slow" => stop::run_slow(&world),
         _ => Verdict::Unclear("no case has this name".to_owned()),
     };
--- a/review/standin-3/stop.rs
+++ b/review/standin-3/stop.rs
@@ -210,3 +210,32 @@
     // SAFETY: the descriptor is open, and the value is an `int` that outlives the call.
     unsafe { setsockopt(stream.as_raw_fd(), SOL_SOCKET, SO_RCVBUF, &bytes, 4) };
 }
+
+/// A statement that was sent ahead of the answer to the one before it.
+pub fn run_ahead(world: &World) -> Verdict {
+    let record = &world.record;
+    let Some((group, daemons)) = start(world, 2000, Duration::from_millis(900)) else {
+        return Verdict::Unclear("the daemons are not ready".to_owned());
+    };
+    thread::sleep(Duration::from_secs(5));
+    let stopped = &daemons[1];
+    let Ok(mut client) = Client::login(stopped.front, "orders", "k1", Duration::from_secs(5)) else {
+        return Verdict::Unclear("the client could not log in".to_owned());
+    };
+    if world.trouble {
+        record.line(&format!("SIGTERM to {}", stopped.name));
+        stopped.signal("-TERM");
+    }
+    thread::sleep(Duration::from_millis(1900));
+    let _ = client.send("QUERY a1 READ slow-1");
+    let _ = client.send("QUERY a2 READ other");
+    let sent = Instant::now();
+    let first = client.receive();
+    record.say(&format!("a1 {first:?} after {:.2?}", sent.elapsed()));
+    let second = client.receive();
+    let took = sent.elapsed();
+    let reached = group.has_run("a2");
+    record.say(&format!("a2 {second:?} after {took:.2?}, reached a server: {reached}"));
+    let counts = second.is_err() && took > LOSS_SLACK;
+    if counts { Verdict::Broken } else { Verdict::Held }
+}
