--- a/review/13/run.sh
+++ b/review/13/run.sh
@@ -3,4 +3,4 @@
 # the disruption out. Needs the build of the deploy file and review/build-3.sh.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/release/goldcrestd ] && [ -x target/review-3/case ] || exit 2
-exec target/review-3/case stop-queue review/13
+exec target/review-3/case unseen review/13
--- a/review/standin-3/main.rs
+++ b/review/standin-3/main.rs
@@ -97,6 +97,7 @@
         World { store: Store::start(), record: record.clone(), trouble, folder: scratch.clone() };
     let verdict = match name.as_str() {
         "again" => sync::run_again(&world),
+        "unseen" => sync::run_unseen(&world),
         "refill" => sync::run_refill(&world),
         "crowd" => memory::run_crowd(&world),
         "long" => memory::run_long(&world),
--- a/review/standin-3/server.rs
+++ b/review/standin-3/server.rs
@@ -188,7 +188,8 @@
         self.state.lock().expect("no thread panics with the lock")
     }
 
-    fn register(&self, id: &str) {
+    /// Writes a server's entry, as at each check-in.
+    pub fn register(&self, id: &str) {
         let mut state = self.lock();
         let Some(server) = state.servers.get_mut(id) else { return };
         server.sequence += 1;
--- a/review/standin-3/store.rs
+++ b/review/standin-3/store.rs
@@ -30,6 +30,8 @@
     items: BTreeMap<String, Item>,
     history: Vec<(String, Item)>,
     leases: BTreeMap<u64, (Instant, Duration)>,
+    /// Whether calls are turned away, those of servers included.
+    down: bool,
 }
 
 #[derive(Clone, Default)]
@@ -69,14 +71,27 @@
         }
     }
 
+    /// Begins or ends an outage, in which calls are turned away. Leases run out meanwhile.
+    pub fn set_down(&self, down: bool) {
+        self.lock().down = down;
+        self.changed.notify_all();
+    }
+
     /// Writes a key as the operator or a server does; `None` removes it.
     pub fn put(&self, key: &str, value: Option<&str>) {
-        self.lock().put(key, value.map(|text| text.as_bytes().to_vec()), 0);
+        let mut state = self.lock();
+        if state.down && value.is_some() {
+            return;
+        }
+        state.put(key, value.map(|text| text.as_bytes().to_vec()), 0);
         self.changed.notify_all();
     }
 
     pub fn answer(&self, request: &Request) -> Answer {
         thread::sleep(ANSWER_TIME);
+        if self.lock().down {
+            return (503, "{}".to_owned());
+        }
         let query = |name: &str| request.query.get(name).cloned().unwrap_or_default();
         let id = |prefix: &str| request.path.strip_prefix(prefix).and_then(|it| it.parse().ok());
         match (request.method.as_str(), request.path.as_str()) {
@@ -128,6 +143,9 @@
                 .map(|(key, item)| item.json(key))
                 .collect();
             let left = deadline.saturating_duration_since(Instant::now());
+            if state.down {
+                return (503, "{}".to_owned());
+            }
             if !events.is_empty() || left.is_zero() {
                 let at = state.revision;
                 return (200, format!(r#"{{"events":[{}],"at":{at}}}"#, events.join(",")));
--- a/review/standin-3/sync.rs
+++ b/review/standin-3/sync.rs
@@ -1,5 +1,5 @@
-//! LOST with synchronous replicas: a replica is promoted that has started again empty, or that has
-//! not been sent its log again in full since.
+//! LOST with synchronous replicas: a replica is promoted that has started again empty, that has not
+//! been sent its log again in full since, or that never received the last commits.
 
 use crate::{
     Verdict, World,
@@ -35,15 +35,22 @@
 
 /// The server that is to take over starts again empty before it leads.
 pub fn run_again(world: &World) -> Verdict {
-    run(world, disrupt_target)
+    run(world, "almaty-b", disrupt_target)
 }
 
 /// A replica starts again empty, and the primary ends while that is sent the log.
 pub fn run_refill(world: &World) -> Verdict {
-    run(world, disrupt_refill)
+    run(world, "almaty-b", disrupt_refill)
 }
 
-fn run(world: &World, disrupt: fn(&Group)) -> Verdict {
+/// A replica that was gone returns while the store is down, and is not seen.
+pub fn run_unseen(world: &World) -> Verdict {
+    let store = world.store.clone();
+    // It ends together with the primary, as the servers of one zone.
+    run(world, "almaty-a", move |group| disrupt_unseen(group, &store))
+}
+
+fn run(world: &World, zone: &str, disrupt: impl Fn(&Group)) -> Verdict {
     let World { record, store, trouble, .. } = world;
     let settings = Settings {
         name: "orders-db".to_owned(),
@@ -56,7 +63,7 @@
         work: Box::new(|_| Duration::from_millis(8)),
     };
     let servers =
-        [("i-a", "almaty-a", "almaty"), ("i-b", "almaty-b", "almaty"), ("i-c", "astana-a", "astana")];
+        [("i-a", "almaty-a", "almaty"), ("i-b", zone, "almaty"), ("i-c", "astana-a", "astana")];
     let group = Group::start(settings, store.clone(), record.clone(), &servers);
     store.put("op/config", Some(CONFIG));
     let groups = [Arc::clone(&group)];
@@ -147,6 +154,8 @@
     while group.received("i-c").0 * 100 < before * 96 && start.elapsed() < DEAF {
         thread::sleep(Duration::from_millis(2));
     }
+    // It ends just after a check-in, so that its entry stays for the longest time.
+    group.register("i-a");
     group.crash("i-a");
     let back = Instant::now() + Duration::from_secs(7);
     thread::sleep(DEAF.saturating_sub(start.elapsed()));
@@ -172,3 +181,24 @@
     thread::sleep(end.saturating_duration_since(Instant::now()));
     group.restart("i-a", false);
 }
+
+/// One replica is gone until the daemons have dropped it. It returns while the store is down, and alone
+/// receives the next commits; then it and the primary end together, and the store is back.
+fn disrupt_unseen(group: &Group, store: &crate::store::Store) {
+    group.crash("i-b");
+    thread::sleep(Duration::from_secs(7));
+    store.set_down(true);
+    group.restart("i-b", false);
+    thread::sleep(Duration::from_millis(500));
+    group.set_deaf("i-c", true);
+    thread::sleep(Duration::from_millis(2000));
+    group.crash("i-a");
+    group.crash("i-b");
+    thread::sleep(Duration::from_millis(1500));
+    store.set_down(false);
+    thread::sleep(Duration::from_millis(2500));
+    group.set_deaf("i-c", false);
+    thread::sleep(Duration::from_millis(3000));
+    group.restart("i-a", false);
+    group.restart("i-b", false);
+}
